--- a/platform/http_object_store.cpp
+++ b/drivers/http_object_store.cpp
@@ -1,8 +1,8 @@
-#include "platform/http_object_store.hpp"
+#include "drivers/http_object_store.hpp"
 
 #include <utility>
 
-namespace chicory::platform
+namespace chicory::drivers
 {
 
 namespace asio = boost::asio;
@@ -10,7 +10,7 @@
 namespace
 {
 
-class http_object_store final : public object_store
+class http_object_store final : public ports::object_store
 {
 public:
     explicit http_object_store(json_caller source) : caller(std::move(source))
@@ -65,9 +65,9 @@
 
 } // namespace
 
-std::unique_ptr<object_store> make_http_object_store(json_caller caller)
+std::unique_ptr<ports::object_store> make_http_object_store(json_caller caller)
 {
     return std::make_unique<http_object_store>(std::move(caller));
 }
 
-} // namespace chicory::platform
+} // namespace chicory::drivers
--- a/platform/http_platform.cpp
+++ b/drivers/http_platform.cpp
@@ -1,11 +1,11 @@
-#include "platform/http_platform.hpp"
+#include "drivers/http_platform.hpp"
 
-#include "platform/http_object_store.hpp"
-#include "platform/http_table_service.hpp"
-#include "platform/http_vm_list.hpp"
-#include "platform/json_caller.hpp"
+#include "drivers/http_object_store.hpp"
+#include "drivers/http_table_service.hpp"
+#include "drivers/http_vm_list.hpp"
+#include "drivers/json_caller.hpp"
 
-namespace chicory::platform
+namespace chicory::drivers
 {
 
 platform_settings read_platform_settings(settings_reader& reader)
@@ -27,25 +27,25 @@
     return settings;
 }
 
-std::unique_ptr<table_service>
+std::unique_ptr<ports::table_service>
 make_table_service(net::http_client& client, const platform_settings& settings)
 {
     return make_http_table_service(
         json_caller(client, settings.table_service, settings.call_limit));
 }
 
-std::unique_ptr<object_store>
+std::unique_ptr<ports::object_store>
 make_object_store(net::http_client& client, const platform_settings& settings)
 {
     return make_http_object_store(
         json_caller(client, settings.object_store, settings.call_limit));
 }
 
-std::unique_ptr<vm_list>
+std::unique_ptr<ports::vm_list>
 make_vm_list(net::http_client& client, const platform_settings& settings)
 {
     return make_http_vm_list(
         json_caller(client, settings.vm_list, settings.call_limit));
 }
 
-} // namespace chicory::platform
+} // namespace chicory::drivers
--- a/platform/http_platform.hpp
+++ b/drivers/http_platform.hpp
@@ -1,15 +1,15 @@
-#ifndef CHICORY_PLATFORM_HTTP_PLATFORM_HPP
-#define CHICORY_PLATFORM_HTTP_PLATFORM_HPP
+#ifndef CHICORY_DRIVERS_HTTP_PLATFORM_HPP
+#define CHICORY_DRIVERS_HTTP_PLATFORM_HPP
 
 #include "core/core.hpp"
 #include "net/net.hpp"
-#include "platform/object_store.hpp"
-#include "platform/table_service.hpp"
-#include "platform/vm_list.hpp"
+#include "ports/object_store.hpp"
+#include "ports/table_service.hpp"
+#include "ports/vm_list.hpp"
 
 #include <memory>
 
-namespace chicory::platform
+namespace chicory::drivers
 {
 
 /// Where the platform's services are and how long a call may take.
@@ -25,17 +25,17 @@
 platform_settings read_platform_settings(settings_reader& reader);
 
 /// Returns a client of the table service. The client must outlive it.
-std::unique_ptr<table_service>
+std::unique_ptr<ports::table_service>
 make_table_service(net::http_client& client, const platform_settings& settings);
 
 /// Returns a client of the object store. The client must outlive it.
-std::unique_ptr<object_store>
+std::unique_ptr<ports::object_store>
 make_object_store(net::http_client& client, const platform_settings& settings);
 
 /// Returns a client of the VM list. The client must outlive it.
-std::unique_ptr<vm_list>
+std::unique_ptr<ports::vm_list>
 make_vm_list(net::http_client& client, const platform_settings& settings);
 
-} // namespace chicory::platform
+} // namespace chicory::drivers
 
 #endif
--- a/platform/http_table_service.cpp
+++ b/drivers/http_table_service.cpp
@@ -1,9 +1,9 @@
-#include "platform/http_table_service.hpp"
+#include "drivers/http_table_service.hpp"
 
 #include <optional>
 #include <utility>
 
-namespace chicory::platform
+namespace chicory::drivers
 {
 
 namespace asio = boost::asio;
@@ -12,10 +12,10 @@
 namespace
 {
 
-row read_row(const json::value& source)
+ports::row read_row(const json::value& source)
 {
     const json::object& fields = source.as_object();
-    row found;
+    ports::row found;
     found.key = json::value_to<std::string>(fields.at("key"));
     if (const json::value* value = fields.if_contains("value");
         value != nullptr && value->is_string())
@@ -26,10 +26,10 @@
     return found;
 }
 
-json::object write_transaction(const transaction& request)
+json::object write_transaction(const ports::transaction& request)
 {
     json::array conditions;
-    for (const row_condition& condition : request.conditions)
+    for (const ports::row_condition& condition : request.conditions)
     {
         json::object line;
         line["key"] = condition.key;
@@ -37,7 +37,7 @@
         conditions.push_back(std::move(line));
     }
     json::array writes;
-    for (const row_write& write : request.writes)
+    for (const ports::row_write& write : request.writes)
     {
         json::object line;
         line["key"] = write.key;
@@ -54,10 +54,10 @@
     return whole;
 }
 
-transaction_outcome read_outcome(const json::value& source)
+ports::transaction_outcome read_outcome(const json::value& source)
 {
     const json::object& fields = source.as_object();
-    transaction_outcome outcome;
+    ports::transaction_outcome outcome;
     outcome.committed = fields.at("committed").as_bool();
     if (const json::value* versions = fields.if_contains("versions"))
     {
@@ -78,7 +78,7 @@
 
 /// An answer that cannot be read leaves open whether the transaction took
 /// effect.
-result<transaction_outcome>
+result<ports::transaction_outcome>
 read_transaction_answer(const net::http_response& response)
 {
     result<json::value> body = parse_body(response);
@@ -86,7 +86,7 @@
     {
         return make_error(error_kind::outcome_unknown, body.error().text);
     }
-    result<transaction_outcome> outcome = read_safely(
+    result<ports::transaction_outcome> outcome = read_safely(
         [&body]()
         {
             return read_outcome(body.value());
@@ -99,14 +99,15 @@
     return outcome;
 }
 
-class http_table_service final : public table_service
+class http_table_service final : public ports::table_service
 {
 public:
     explicit http_table_service(json_caller source) : caller(std::move(source))
     {
     }
 
-    asio::awaitable<result<std::optional<row>>> read(std::string key) override
+    asio::awaitable<result<std::optional<ports::row>>>
+    read(std::string key) override
     {
         json::object question;
         question["key"] = key;
@@ -118,19 +119,19 @@
         }
         if (response.value().status == 404)
         {
-            co_return std::optional<row>();
+            co_return std::optional<ports::row>();
         }
         BOOST_OUTCOME_CO_TRY(
             const json::value body, parse_body(response.value()));
         co_return read_safely(
             [&body]()
             {
-                return std::optional<row>(read_row(body));
+                return std::optional<ports::row>(read_row(body));
             },
             response.value().body);
     }
 
-    asio::awaitable<result<std::vector<row>>>
+    asio::awaitable<result<std::vector<ports::row>>>
     scan(std::string prefix, std::string after, std::int64_t limit) override
     {
         json::object question;
@@ -148,7 +149,7 @@
         co_return read_safely(
             [&body]()
             {
-                std::vector<row> rows;
+                std::vector<ports::row> rows;
                 for (const json::value& line : body.at("rows").as_array())
                 {
                     rows.push_back(read_row(line));
@@ -158,8 +159,8 @@
             response.value().body);
     }
 
-    asio::awaitable<result<transaction_outcome>>
-    transact(transaction request) override
+    asio::awaitable<result<ports::transaction_outcome>>
+    transact(ports::transaction request) override
     {
         result<net::http_response> response = co_await this->caller.call(
             "POST",
@@ -178,9 +179,10 @@
 
 } // namespace
 
-std::unique_ptr<table_service> make_http_table_service(json_caller caller)
+std::unique_ptr<ports::table_service>
+make_http_table_service(json_caller caller)
 {
     return std::make_unique<http_table_service>(std::move(caller));
 }
 
-} // namespace chicory::platform
+} // namespace chicory::drivers
--- a/platform/http_vm_list.cpp
+++ b/drivers/http_vm_list.cpp
@@ -1,8 +1,8 @@
-#include "platform/http_vm_list.hpp"
+#include "drivers/http_vm_list.hpp"
 
 #include <utility>
 
-namespace chicory::platform
+namespace chicory::drivers
 {
 
 namespace asio = boost::asio;
@@ -11,7 +11,7 @@
 namespace
 {
 
-listed_vm read_listed_vm(const json::value& source)
+ports::listed_vm read_listed_vm(const json::value& source)
 {
     const json::object& fields = source.as_object();
     const auto text = [&fields](std::string_view name)
@@ -26,7 +26,7 @@
         return value != nullptr ? value->to_number<std::uint16_t>()
                                 : std::uint16_t{0};
     };
-    listed_vm vm;
+    ports::listed_vm vm;
     vm.id = json::value_to<std::string>(fields.at("id"));
     vm.role = text("role");
     vm.state = text("state");
@@ -45,14 +45,14 @@
     return vm;
 }
 
-class http_vm_list final : public vm_list
+class http_vm_list final : public ports::vm_list
 {
 public:
     explicit http_vm_list(json_caller source) : caller(std::move(source))
     {
     }
 
-    asio::awaitable<result<std::vector<listed_vm>>> read() override
+    asio::awaitable<result<std::vector<ports::listed_vm>>> read() override
     {
         result<net::http_response> response =
             co_await this->caller.read("GET", "/vms", "");
@@ -65,7 +65,7 @@
         co_return read_safely(
             [&body]()
             {
-                std::vector<listed_vm> vms;
+                std::vector<ports::listed_vm> vms;
                 for (const json::value& line : body.at("vms").as_array())
                 {
                     vms.push_back(read_listed_vm(line));
@@ -81,9 +81,9 @@
 
 } // namespace
 
-std::unique_ptr<vm_list> make_http_vm_list(json_caller caller)
+std::unique_ptr<ports::vm_list> make_http_vm_list(json_caller caller)
 {
     return std::make_unique<http_vm_list>(std::move(caller));
 }
 
-} // namespace chicory::platform
+} // namespace chicory::drivers
--- a/platform/json_caller.cpp
+++ b/drivers/json_caller.cpp
@@ -1,8 +1,8 @@
-#include "platform/json_caller.hpp"
+#include "drivers/json_caller.hpp"
 
 #include <utility>
 
-namespace chicory::platform
+namespace chicory::drivers
 {
 
 namespace asio = boost::asio;
@@ -67,4 +67,4 @@
     return value;
 }
 
-} // namespace chicory::platform
+} // namespace chicory::drivers
--- a/platform/json_caller.hpp
+++ b/drivers/json_caller.hpp
@@ -1,5 +1,5 @@
-#ifndef CHICORY_PLATFORM_JSON_CALLER_HPP
-#define CHICORY_PLATFORM_JSON_CALLER_HPP
+#ifndef CHICORY_DRIVERS_JSON_CALLER_HPP
+#define CHICORY_DRIVERS_JSON_CALLER_HPP
 
 #include "core/core.hpp"
 #include "net/net.hpp"
@@ -11,7 +11,7 @@
 #include <string>
 #include <string_view>
 
-namespace chicory::platform
+namespace chicory::drivers
 {
 
 /// Calls one of the platform's services with JSON bodies.
@@ -58,6 +58,6 @@
     }
 }
 
-} // namespace chicory::platform
+} // namespace chicory::drivers
 
 #endif
--- a/platform/object_store.hpp
+++ b/ports/object_store.hpp
@@ -1,5 +1,5 @@
-#ifndef CHICORY_PLATFORM_OBJECT_STORE_HPP
-#define CHICORY_PLATFORM_OBJECT_STORE_HPP
+#ifndef CHICORY_PORTS_OBJECT_STORE_HPP
+#define CHICORY_PORTS_OBJECT_STORE_HPP
 
 #include "core/core.hpp"
 
@@ -7,7 +7,7 @@
 
 #include <string>
 
-namespace chicory::platform
+namespace chicory::ports
 {
 
 /// Port to the platform's object store. Names are never written twice with
@@ -26,6 +26,6 @@
     get(std::string name) = 0;
 };
 
-} // namespace chicory::platform
+} // namespace chicory::ports
 
 #endif
--- a/platform/table_service.hpp
+++ b/ports/table_service.hpp
@@ -1,5 +1,5 @@
-#ifndef CHICORY_PLATFORM_TABLE_SERVICE_HPP
-#define CHICORY_PLATFORM_TABLE_SERVICE_HPP
+#ifndef CHICORY_PORTS_TABLE_SERVICE_HPP
+#define CHICORY_PORTS_TABLE_SERVICE_HPP
 
 #include "core/core.hpp"
 
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace chicory::platform
+namespace chicory::ports
 {
 
 /// A row of the table service. The version grows with each write of the row
@@ -77,6 +77,6 @@
     transact(transaction request) = 0;
 };
 
-} // namespace chicory::platform
+} // namespace chicory::ports
 
 #endif
--- a/platform/vm_list.hpp
+++ b/ports/vm_list.hpp
@@ -1,5 +1,5 @@
-#ifndef CHICORY_PLATFORM_VM_LIST_HPP
-#define CHICORY_PLATFORM_VM_LIST_HPP
+#ifndef CHICORY_PORTS_VM_LIST_HPP
+#define CHICORY_PORTS_VM_LIST_HPP
 
 #include "core/core.hpp"
 
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace chicory::platform
+namespace chicory::ports
 {
 
 /// One line of the platform's list, as the platform writes it. `role` is
@@ -40,6 +40,6 @@
     virtual boost::asio::awaitable<result<std::vector<listed_vm>>> read() = 0;
 };
 
-} // namespace chicory::platform
+} // namespace chicory::ports
 
 #endif
--- a/servers/batch/batch_process.cpp
+++ b/servers/batch/batch_process.cpp
@@ -24,10 +24,10 @@
 batch_process::batch_process(
     asio::io_context& io, vm_settings source, lifecycles loaded)
     : context(io), settings(std::move(source)), charts(std::move(loaded)),
-      client(io.get_executor()), service(platform::make_table_service(
+      client(io.get_executor()), service(drivers::make_table_service(
                                      this->client, this->settings.platform)),
       objects(
-          platform::make_object_store(this->client, this->settings.platform)),
+          drivers::make_object_store(this->client, this->settings.platform)),
       table(io.get_executor(), *this->service, this->numbers),
       owners(io.get_executor(), this->fleet, this->settings.vm_id + "/batch"),
       control(
--- a/servers/batch/batch_process.hpp
+++ b/servers/batch/batch_process.hpp
@@ -2,8 +2,8 @@
 #define CHICORY_SERVERS_BATCH_BATCH_PROCESS_HPP
 
 #include "core/core.hpp"
+#include "drivers/drivers.hpp"
 #include "net/net.hpp"
-#include "platform/platform.hpp"
 #include "servers/batch/chunk_holder.hpp"
 #include "servers/batch/commit_runner.hpp"
 #include "servers/batch/item_feeder.hpp"
@@ -45,8 +45,8 @@
     identifier_source identifiers;
     dispatching::fleet_cache fleet;
     net::http_client client;
-    std::unique_ptr<platform::table_service> service;
-    std::unique_ptr<platform::object_store> objects;
+    std::unique_ptr<ports::table_service> service;
+    std::unique_ptr<ports::object_store> objects;
     job_table table;
     dispatching::dispatcher owners;
     dispatching::control_subscription control;
--- a/servers/batch/chunk_holder.cpp
+++ b/servers/batch/chunk_holder.cpp
@@ -35,7 +35,7 @@
     asio::any_io_executor context,
     std::string name,
     job_table& rows,
-    platform::object_store& store,
+    ports::object_store& store,
     item_feeder& items,
     commit_runner& runner,
     const lifecycles& loaded,
--- a/servers/batch/chunk_holder.hpp
+++ b/servers/batch/chunk_holder.hpp
@@ -25,7 +25,7 @@
         boost::asio::any_io_executor executor,
         std::string process,
         job_table& table,
-        platform::object_store& objects,
+        ports::object_store& objects,
         item_feeder& feeder,
         commit_runner& commits,
         const lifecycles& charts,
@@ -75,7 +75,7 @@
     boost::asio::any_io_executor executor;
     std::string process;
     job_table& table;
-    platform::object_store& objects;
+    ports::object_store& objects;
     item_feeder& feeder;
     commit_runner& commits;
     const lifecycles& charts;
--- a/servers/batch/commit_runner.cpp
+++ b/servers/batch/commit_runner.cpp
@@ -23,7 +23,7 @@
 commit_runner::commit_runner(
     asio::any_io_executor context,
     job_table& rows,
-    platform::object_store& store,
+    ports::object_store& store,
     metrics& counters)
     : executor(context), table(rows), objects(store), numbers(counters),
       pending({}, std::random_device()()), wake(context)
--- a/servers/batch/commit_runner.hpp
+++ b/servers/batch/commit_runner.hpp
@@ -22,7 +22,7 @@
     commit_runner(
         boost::asio::any_io_executor executor,
         job_table& table,
-        platform::object_store& objects,
+        ports::object_store& objects,
         metrics& numbers);
 
     /// Sees each chunk that left the queue.
@@ -44,7 +44,7 @@
 
     boost::asio::any_io_executor executor;
     job_table& table;
-    platform::object_store& objects;
+    ports::object_store& objects;
     metrics& numbers;
     commit_queue pending;
     boost::asio::steady_timer wake;
--- a/servers/batch/job_server.cpp
+++ b/servers/batch/job_server.cpp
@@ -67,7 +67,7 @@
     asio::any_io_executor context,
     dispatching::fleet_cache& cache,
     job_table& rows,
-    platform::object_store& store,
+    ports::object_store& store,
     const lifecycles& loaded,
     identifier_source& source,
     metrics& counters)
--- a/servers/batch/job_server.hpp
+++ b/servers/batch/job_server.hpp
@@ -31,7 +31,7 @@
         boost::asio::any_io_executor executor,
         dispatching::fleet_cache& fleet,
         job_table& table,
-        platform::object_store& objects,
+        ports::object_store& objects,
         const lifecycles& charts,
         identifier_source& identifiers,
         metrics& numbers);
--- a/servers/batch/job_table.cpp
+++ b/servers/batch/job_table.cpp
@@ -18,9 +18,9 @@
 constexpr std::chrono::milliseconds settle_pause(100);
 constexpr int read_repeats = 3;
 
-platform::transaction to_transaction(const write_plan& plan)
+ports::transaction to_transaction(const write_plan& plan)
 {
-    platform::transaction request;
+    ports::transaction request;
     for (const planned_condition& condition : plan.conditions)
     {
         request.conditions.push_back({condition.key, condition.version});
@@ -63,7 +63,7 @@
 
 job_table::job_table(
     asio::any_io_executor context,
-    platform::table_service& port,
+    ports::table_service& port,
     metrics& counters)
     : executor(std::move(context)), service(port), numbers(counters)
 {
@@ -75,8 +75,8 @@
     this->numbers.add(
         "table_row_writes_total",
         static_cast<std::int64_t>(plan.writes.size()));
-    platform::transaction request = to_transaction(plan);
-    result<platform::transaction_outcome> outcome =
+    ports::transaction request = to_transaction(plan);
+    result<ports::transaction_outcome> outcome =
         co_await this->service.transact(std::move(request));
     transaction_report report;
     if (!outcome)
@@ -88,7 +88,7 @@
         report.fate = is_certain ? write_fate::no_effect : write_fate::unknown;
         co_return report;
     }
-    for (const platform::row& row : outcome.value().conflicts)
+    for (const ports::row& row : outcome.value().conflicts)
     {
         report.conflicts.push_back({row.key, row.value, row.version});
     }
@@ -147,7 +147,7 @@
 
 asio::awaitable<result<found_row>> job_table::read(std::string key)
 {
-    result<std::optional<platform::row>> row = co_await this->service.read(key);
+    result<std::optional<ports::row>> row = co_await this->service.read(key);
     for (int again = 0; again < read_repeats && !row; ++again)
     {
         this->numbers.count_retry(reason::table_service_unavailable);
@@ -193,14 +193,14 @@
 asio::awaitable<result<std::vector<stored_job>>> job_table::list_open_jobs()
 {
     std::string prefix(open_row_prefix);
-    const result<std::vector<platform::row>> rows =
+    const result<std::vector<ports::row>> rows =
         co_await this->scan_all(std::move(prefix));
     if (!rows)
     {
         co_return rows.error();
     }
     std::vector<stored_job> jobs;
-    for (const platform::row& row : rows.value())
+    for (const ports::row& row : rows.value())
     {
         if (const result<job_record> record = decode_job(row.value))
         {
@@ -214,14 +214,14 @@
 job_table::list_chunks(std::string job)
 {
     std::string prefix = chunk_row_prefix(job);
-    const result<std::vector<platform::row>> rows =
+    const result<std::vector<ports::row>> rows =
         co_await this->scan_all(std::move(prefix));
     if (!rows)
     {
         co_return rows.error();
     }
     std::vector<stored_chunk> chunks;
-    for (const platform::row& row : rows.value())
+    for (const ports::row& row : rows.value())
     {
         const result<chunk_record> record = decode_chunk(row.value);
         if (!record)
@@ -233,21 +233,21 @@
     co_return chunks;
 }
 
-asio::awaitable<result<std::vector<platform::row>>>
+asio::awaitable<result<std::vector<ports::row>>>
 job_table::scan_all(std::string prefix)
 {
-    std::vector<platform::row> rows;
+    std::vector<ports::row> rows;
     std::string after;
     while (true)
     {
-        result<std::vector<platform::row>> page =
+        result<std::vector<ports::row>> page =
             co_await this->service.scan(prefix, after, scan_page);
         if (!page)
         {
             co_return page.error();
         }
         const std::size_t size = page.value().size();
-        for (platform::row& row : page.value())
+        for (ports::row& row : page.value())
         {
             rows.push_back(std::move(row));
         }
--- a/servers/batch/job_table.hpp
+++ b/servers/batch/job_table.hpp
@@ -2,7 +2,7 @@
 #define CHICORY_SERVERS_BATCH_JOB_TABLE_HPP
 
 #include "core/core.hpp"
-#include "platform/platform.hpp"
+#include "drivers/drivers.hpp"
 #include "policy/batch/batch.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -39,7 +39,7 @@
 public:
     job_table(
         boost::asio::any_io_executor executor,
-        platform::table_service& service,
+        ports::table_service& service,
         metrics& numbers);
 
     /// Runs a plan once. A lost answer is `write_fate::unknown`.
@@ -71,12 +71,12 @@
     list_chunks(std::string job);
 
 private:
-    boost::asio::awaitable<result<std::vector<platform::row>>>
+    boost::asio::awaitable<result<std::vector<ports::row>>>
     scan_all(std::string prefix);
     boost::asio::awaitable<void> pause(duration length);
 
     boost::asio::any_io_executor executor;
-    platform::table_service& service;
+    ports::table_service& service;
     metrics& numbers;
 };
 
--- a/servers/batch/result_reader.cpp
+++ b/servers/batch/result_reader.cpp
@@ -90,7 +90,7 @@
     return merged;
 }
 
-result_reader::result_reader(job_table& rows, platform::object_store& store)
+result_reader::result_reader(job_table& rows, ports::object_store& store)
     : table(rows), objects(store)
 {
 }
--- a/servers/batch/result_reader.hpp
+++ b/servers/batch/result_reader.hpp
@@ -35,7 +35,7 @@
 class result_reader
 {
 public:
-    result_reader(job_table& table, platform::object_store& objects);
+    result_reader(job_table& table, ports::object_store& objects);
 
     /// Streams the results that are committed. The body is not ended when a
     /// store fails half-way, so that the caller sees that it is not whole.
@@ -48,7 +48,7 @@
     read_group(std::vector<stored_chunk> group);
 
     job_table& table;
-    platform::object_store& objects;
+    ports::object_store& objects;
 };
 
 } // namespace chicory::batch
--- a/servers/batch/submission.cpp
+++ b/servers/batch/submission.cpp
@@ -50,7 +50,7 @@
 
 submission::submission(
     job_table& rows,
-    platform::object_store& store,
+    ports::object_store& store,
     const lifecycles& loaded,
     identifier_source& source)
     : table(rows), objects(store), charts(loaded), identifiers(source)
--- a/servers/batch/submission.hpp
+++ b/servers/batch/submission.hpp
@@ -38,7 +38,7 @@
 public:
     submission(
         job_table& table,
-        platform::object_store& objects,
+        ports::object_store& objects,
         const lifecycles& charts,
         identifier_source& identifiers);
 
@@ -66,7 +66,7 @@
     boost::asio::awaitable<submission_outcome> settle_race(job_record record);
 
     job_table& table;
-    platform::object_store& objects;
+    ports::object_store& objects;
     const lifecycles& charts;
     identifier_source& identifiers;
 };
--- a/servers/control_client/client.cpp
+++ b/servers/control_client/client.cpp
@@ -23,8 +23,8 @@
 
 client::client(asio::io_context& context, const client_settings& given)
     : settings(given), http(context.get_executor()),
-      table(platform::make_table_service(http, given.platform)),
-      vms(platform::make_vm_list(http, given.platform)),
+      table(drivers::make_table_service(http, given.platform)),
+      vms(drivers::make_vm_list(http, given.platform)),
       runners(backend::make_http_backend(http)), store(*table, sleep_for),
       configuration(store, make_signature()), history(store, make_signature()),
       fleet(*vms, store, http, make_load_source(*runners)),
--- a/servers/control_client/client.hpp
+++ b/servers/control_client/client.hpp
@@ -24,8 +24,8 @@
     client_settings settings;
     identifier_source identifiers;
     net::http_client http;
-    std::unique_ptr<platform::table_service> table;
-    std::unique_ptr<platform::vm_list> vms;
+    std::unique_ptr<ports::table_service> table;
+    std::unique_ptr<ports::vm_list> vms;
     std::unique_ptr<backend::backend_server> runners;
     configuration_store store;
     configuration_commands configuration;
--- a/servers/control_client/client_settings.cpp
+++ b/servers/control_client/client_settings.cpp
@@ -31,7 +31,7 @@
     BOOST_OUTCOME_TRY(settings_reader reader, settings_reader::open(path));
     client_settings settings;
     settings.operator_name = reader.required_string("operator");
-    settings.platform = platform::read_platform_settings(reader);
+    settings.platform = drivers::read_platform_settings(reader);
     read_gates(reader, settings.gates);
     settings.charts = reader.optional_string("charts", "charts");
     BOOST_OUTCOME_TRY(reader.finish());
--- a/servers/control_client/client_settings.hpp
+++ b/servers/control_client/client_settings.hpp
@@ -2,7 +2,7 @@
 #define CHICORY_SERVERS_CONTROL_CLIENT_CLIENT_SETTINGS_HPP
 
 #include "core/core.hpp"
-#include "platform/platform.hpp"
+#include "drivers/drivers.hpp"
 
 #include <string>
 #include <string_view>
@@ -16,7 +16,7 @@
 {
     /// Name that the history of the configuration shows.
     std::string operator_name;
-    platform::platform_settings platform;
+    drivers::platform_settings platform;
     /// Callers' HTTP addresses of the gates that `status` asks.
     std::vector<net::endpoint> gates;
     /// Folder of state charts.
--- a/servers/control_client/configuration_store.cpp
+++ b/servers/control_client/configuration_store.cpp
@@ -18,9 +18,9 @@
 constexpr int max_look_ups = 5;
 constexpr duration look_up_pause = std::chrono::milliseconds(300);
 
-platform::transaction make_transaction(const configuration::edit_plan& plan)
+ports::transaction make_transaction(const configuration::edit_plan& plan)
 {
-    platform::transaction request;
+    ports::transaction request;
     for (const configuration::planned_condition& condition : plan.conditions)
     {
         request.conditions.push_back({condition.key, condition.version});
@@ -35,7 +35,7 @@
 } // namespace
 
 configuration_store::configuration_store(
-    platform::table_service& service, pause_hook hook)
+    ports::table_service& service, pause_hook hook)
     : table(service), pause(std::move(hook))
 {
 }
@@ -62,7 +62,7 @@
 configuration_store::read_history(std::int64_t revision)
 {
     BOOST_OUTCOME_CO_TRY(
-        const std::optional<platform::row> found,
+        const std::optional<ports::row> found,
         co_await this->table.read(configuration::history_key(revision)));
     if (!found)
     {
@@ -85,10 +85,10 @@
     std::string prefix(configuration::history_prefix);
     std::string after = configuration::history_key(skipped);
     BOOST_OUTCOME_CO_TRY(
-        const std::vector<platform::row> rows,
+        const std::vector<ports::row> rows,
         co_await this->table.scan(std::move(prefix), std::move(after), count));
     std::vector<configuration::history_entry> entries;
-    for (const platform::row& found : rows)
+    for (const ports::row& found : rows)
     {
         BOOST_OUTCOME_CO_TRY(
             configuration::history_entry entry,
@@ -168,8 +168,8 @@
 asio::awaitable<result<configuration_store::attempt>>
 configuration_store::run(configuration::edit_plan plan)
 {
-    platform::transaction request = make_transaction(plan);
-    const result<platform::transaction_outcome> outcome =
+    ports::transaction request = make_transaction(plan);
+    const result<ports::transaction_outcome> outcome =
         co_await this->table.transact(std::move(request));
     if (!outcome)
     {
--- a/servers/control_client/configuration_store.hpp
+++ b/servers/control_client/configuration_store.hpp
@@ -1,7 +1,7 @@
 #ifndef CHICORY_SERVERS_CONTROL_CLIENT_CONFIGURATION_STORE_HPP
 #define CHICORY_SERVERS_CONTROL_CLIENT_CONFIGURATION_STORE_HPP
 
-#include "platform/platform.hpp"
+#include "drivers/drivers.hpp"
 #include "policy/configuration/configuration.hpp"
 #include "servers/stored_configuration/stored_configuration.hpp"
 
@@ -31,7 +31,7 @@
     using pause_hook = std::function<boost::asio::awaitable<void>(duration)>;
 
     /// The service must outlive the store.
-    configuration_store(platform::table_service& service, pause_hook hook);
+    configuration_store(ports::table_service& service, pause_hook hook);
 
     /// Reads all rows at one revision. Errors: unavailable, timeout, conflict
     /// when edits came too fast to read between them.
@@ -71,7 +71,7 @@
     boost::asio::awaitable<result<attempt>>
     look_up(configuration::edit_plan plan);
 
-    platform::table_service& table;
+    ports::table_service& table;
     pause_hook pause;
 };
 
--- a/servers/control_client/fleet_commands.cpp
+++ b/servers/control_client/fleet_commands.cpp
@@ -17,7 +17,7 @@
 
 constexpr duration gate_limit = std::chrono::seconds(2);
 
-json::object describe_vm(const platform::listed_vm& vm)
+json::object describe_vm(const ports::listed_vm& vm)
 {
     json::object fields;
     fields["id"] = vm.id;
@@ -98,7 +98,7 @@
 
 /// Returns the state of a runner. Its own word that it leaves may come before
 /// the list's.
-std::string find_state(const platform::listed_vm& vm, const runner_load& load)
+std::string find_state(const ports::listed_vm& vm, const runner_load& load)
 {
     return load.report && load.report->leaving ? "leaving" : vm.state;
 }
@@ -192,7 +192,7 @@
 }
 
 fleet_commands::fleet_commands(
-    platform::vm_list& listed,
+    ports::vm_list& listed,
     configuration_store& opened,
     net::http_client& client,
     load_source source)
@@ -202,7 +202,7 @@
 
 asio::awaitable<command_report> fleet_commands::list_vms()
 {
-    const result<std::vector<platform::listed_vm>> listed =
+    const result<std::vector<ports::listed_vm>> listed =
         co_await this->vms.read();
     if (!listed)
     {
@@ -211,7 +211,7 @@
     std::vector<std::vector<std::string>> lines = {
         {"id", "role", "state", "incarnation", "zone", "address"}};
     json::array rows;
-    for (const platform::listed_vm& vm : listed.value())
+    for (const ports::listed_vm& vm : listed.value())
     {
         lines.push_back(
             {vm.id,
@@ -230,7 +230,7 @@
 
 asio::awaitable<command_report> fleet_commands::list_runners()
 {
-    const result<std::vector<platform::listed_vm>> listed =
+    const result<std::vector<ports::listed_vm>> listed =
         co_await this->vms.read();
     if (!listed)
     {
@@ -259,7 +259,7 @@
         "model"};
     std::vector<std::vector<std::string>> lines = {columns};
     json::array rows;
-    for (const platform::listed_vm& vm : listed.value())
+    for (const ports::listed_vm& vm : listed.value())
     {
         if (vm.role != "runner")
         {
--- a/servers/control_client/fleet_commands.hpp
+++ b/servers/control_client/fleet_commands.hpp
@@ -1,7 +1,7 @@
 #ifndef CHICORY_SERVERS_CONTROL_CLIENT_FLEET_COMMANDS_HPP
 #define CHICORY_SERVERS_CONTROL_CLIENT_FLEET_COMMANDS_HPP
 
-#include "platform/platform.hpp"
+#include "drivers/drivers.hpp"
 #include "servers/control_client/command_report.hpp"
 #include "servers/control_client/configuration_store.hpp"
 #include "servers/control_client/runner_loads.hpp"
@@ -20,7 +20,7 @@
 public:
     /// The arguments must outlive the commands.
     fleet_commands(
-        platform::vm_list& listed,
+        ports::vm_list& listed,
         configuration_store& opened,
         net::http_client& client,
         load_source source);
@@ -38,7 +38,7 @@
     status(std::vector<net::endpoint> gates);
 
 private:
-    platform::vm_list& vms;
+    ports::vm_list& vms;
     configuration_store& store;
     net::http_client& http;
     load_source read_loads;
--- a/servers/control_client/job_commands.cpp
+++ b/servers/control_client/job_commands.cpp
@@ -58,9 +58,9 @@
         "expected a running job, found the state " + name_of(job.state)));
 }
 
-platform::transaction make_transaction(const batch::write_plan& plan)
+ports::transaction make_transaction(const batch::write_plan& plan)
 {
-    platform::transaction request;
+    ports::transaction request;
     for (const batch::planned_condition& condition : plan.conditions)
     {
         request.conditions.push_back({condition.key, condition.version});
@@ -75,7 +75,7 @@
 } // namespace
 
 job_commands::job_commands(
-    platform::table_service& service,
+    ports::table_service& service,
     std::string charts,
     operation_hook operation,
     clock_hook clock)
@@ -149,8 +149,8 @@
         {
             co_return report_over(job.record);
         }
-        platform::transaction request = make_transaction(*plan);
-        const result<platform::transaction_outcome> outcome =
+        ports::transaction request = make_transaction(*plan);
+        const result<ports::transaction_outcome> outcome =
             co_await this->table.transact(std::move(request));
         // After a lost answer or another write the row tells what happened.
         if (!outcome && outcome.error().kind == error_kind::unavailable)
@@ -167,7 +167,7 @@
 asio::awaitable<result<batch::stored_job>> job_commands::read(std::string id)
 {
     BOOST_OUTCOME_CO_TRY(
-        const std::optional<platform::row> found,
+        const std::optional<ports::row> found,
         co_await this->table.read(batch::job_row_key(id)));
     if (!found)
     {
@@ -176,7 +176,7 @@
             "expected the id of a job, found \"" + id + "\"");
     }
     BOOST_OUTCOME_CO_TRY(
-        const std::optional<platform::row> open,
+        const std::optional<ports::row> open,
         co_await this->table.read(batch::open_row_key(id)));
     batch::stored_job job;
     BOOST_OUTCOME_CO_TRY(job.record, batch::decode_job(found->value));
@@ -194,9 +194,9 @@
     while (!complete)
     {
         BOOST_OUTCOME_CO_TRY(
-            const std::vector<platform::row> rows,
+            const std::vector<ports::row> rows,
             co_await this->table.scan(prefix, after, page_rows));
-        for (const platform::row& found : rows)
+        for (const ports::row& found : rows)
         {
             ids.push_back(found.key.substr(prefix.size()));
             after = found.key;
--- a/servers/control_client/job_commands.hpp
+++ b/servers/control_client/job_commands.hpp
@@ -1,7 +1,7 @@
 #ifndef CHICORY_SERVERS_CONTROL_CLIENT_JOB_COMMANDS_HPP
 #define CHICORY_SERVERS_CONTROL_CLIENT_JOB_COMMANDS_HPP
 
-#include "platform/platform.hpp"
+#include "drivers/drivers.hpp"
 #include "policy/batch/batch.hpp"
 #include "servers/control_client/command_report.hpp"
 
@@ -23,7 +23,7 @@
     /// `charts` is the folder of state charts. The service must outlive the
     /// commands.
     job_commands(
-        platform::table_service& service,
+        ports::table_service& service,
         std::string charts,
         operation_hook operation,
         clock_hook clock);
@@ -42,7 +42,7 @@
     boost::asio::awaitable<result<std::vector<std::string>>>
     list_ids(std::string prefix);
 
-    platform::table_service& table;
+    ports::table_service& table;
     std::string charts_folder;
     operation_hook next_operation;
     clock_hook read_clock;
--- a/servers/control_client/runner_loads.cpp
+++ b/servers/control_client/runner_loads.cpp
@@ -37,7 +37,7 @@
 
     backend::backend_server& servers;
     std::vector<std::string> pools;
-    std::deque<platform::listed_vm> waiting;
+    std::deque<ports::listed_vm> waiting;
     std::size_t workers = 0;
     /// Cancelled when the last worker has ended.
     asio::steady_timer ended;
@@ -80,7 +80,7 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-asio::awaitable<void> ask_gate(shared_inquiry asked, platform::listed_vm gate)
+asio::awaitable<void> ask_gate(shared_inquiry asked, ports::listed_vm gate)
 {
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     const auto answers = std::make_shared<gate_answers>(executor);
@@ -115,8 +115,7 @@
     }
 }
 
-asio::awaitable<void>
-ask_runner(shared_inquiry asked, platform::listed_vm runner)
+asio::awaitable<void> ask_runner(shared_inquiry asked, ports::listed_vm runner)
 {
     net::endpoint server;
     server.address = runner.address;
@@ -134,7 +133,7 @@
 {
     while (!asked->waiting.empty())
     {
-        const platform::listed_vm vm = asked->waiting.front();
+        const ports::listed_vm vm = asked->waiting.front();
         asked->waiting.pop_front();
         if (vm.role == "runner")
         {
@@ -154,7 +153,7 @@
 
 asio::awaitable<runner_loads> read_loads(
     backend::backend_server& servers,
-    std::vector<platform::listed_vm> listed,
+    std::vector<ports::listed_vm> listed,
     std::vector<std::string> pools)
 {
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
@@ -180,7 +179,7 @@
 load_source make_load_source(backend::backend_server& server)
 {
     return [&server](
-               std::vector<platform::listed_vm> listed,
+               std::vector<ports::listed_vm> listed,
                std::vector<std::string> pools)
     {
         return read_loads(server, std::move(listed), std::move(pools));
--- a/servers/control_client/runner_loads.hpp
+++ b/servers/control_client/runner_loads.hpp
@@ -2,7 +2,7 @@
 #define CHICORY_SERVERS_CONTROL_CLIENT_RUNNER_LOADS_HPP
 
 #include "backend/backend.hpp"
-#include "platform/platform.hpp"
+#include "drivers/drivers.hpp"
 #include "wire/wire.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -32,7 +32,7 @@
 
 /// Reads the loads of all listed runners; pools are given by name.
 using load_source = std::function<boost::asio::awaitable<runner_loads>(
-    std::vector<platform::listed_vm>, std::vector<std::string>)>;
+    std::vector<ports::listed_vm>, std::vector<std::string>)>;
 
 /// Returns the source that asks the gates of the listed entry VMs and the
 /// runners themselves, some at a time. Whoever does not answer is left out.
--- a/servers/gate/claim_keeper.cpp
+++ b/servers/gate/claim_keeper.cpp
@@ -15,7 +15,7 @@
 
 claim_keeper::claim_keeper(
     asio::any_io_executor context,
-    platform::table_service& port,
+    ports::table_service& port,
     metrics& counters,
     bool in_groups)
     : executor(std::move(context)), table(port), numbers(counters),
@@ -158,14 +158,14 @@
 asio::awaitable<void>
 claim_keeper::write(std::string group, online::write_claims order)
 {
-    platform::transaction request;
+    ports::transaction request;
     for (const online::claim_write& claim : order.writes)
     {
         request.conditions.push_back({claim.key, claim.version});
         request.writes.push_back({claim.key, claim.value});
     }
     this->numbers.add("claim_transactions_total");
-    const result<platform::transaction_outcome> outcome =
+    const result<ports::transaction_outcome> outcome =
         co_await this->table.transact(std::move(request));
     if (!outcome)
     {
@@ -185,7 +185,7 @@
         co_return;
     }
     std::vector<online::claim_row> rows;
-    for (const platform::row& found : outcome.value().conflicts)
+    for (const ports::row& found : outcome.value().conflicts)
     {
         rows.push_back({found.key, found.value, found.version});
     }
@@ -198,7 +198,7 @@
     std::vector<online::claim_row> rows;
     for (const std::string& key : order.keys)
     {
-        const result<std::optional<platform::row>> found =
+        const result<std::optional<ports::row>> found =
             co_await this->table.read(key);
         if (!found)
         {
@@ -207,7 +207,7 @@
         }
         if (found.value())
         {
-            const platform::row& row = *found.value();
+            const ports::row& row = *found.value();
             rows.push_back({row.key, row.value, row.version});
         }
     }
--- a/servers/gate/claim_keeper.hpp
+++ b/servers/gate/claim_keeper.hpp
@@ -2,7 +2,7 @@
 #define CHICORY_SERVERS_GATE_CLAIM_KEEPER_HPP
 
 #include "core/core.hpp"
-#include "platform/platform.hpp"
+#include "drivers/drivers.hpp"
 #include "policy/online/online.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -46,7 +46,7 @@
 public:
     claim_keeper(
         boost::asio::any_io_executor executor,
-        platform::table_service& table,
+        ports::table_service& table,
         metrics& numbers,
         bool grouped);
 
@@ -93,7 +93,7 @@
     read(std::string group, online::read_claims order);
 
     boost::asio::any_io_executor executor;
-    platform::table_service& table;
+    ports::table_service& table;
     metrics& numbers;
     bool grouped;
     /// Batchers with rows to write, by group.
--- a/servers/gate/claim_sweeper.cpp
+++ b/servers/gate/claim_sweeper.cpp
@@ -17,7 +17,7 @@
 claim_sweeper::claim_sweeper(
     asio::any_io_executor context,
     const dispatching::fleet_cache& cache,
-    platform::table_service& port,
+    ports::table_service& port,
     metrics& counters,
     std::string own_gate,
     online::claim_sweep_settings settings)
@@ -51,7 +51,7 @@
     {
         co_return;
     }
-    const result<std::vector<platform::row>> found = co_await this->table.scan(
+    const result<std::vector<ports::row>> found = co_await this->table.scan(
         std::move(wanted->prefix),
         std::move(wanted->after),
         static_cast<std::int64_t>(this->page));
@@ -62,7 +62,7 @@
         co_return;
     }
     std::vector<online::claim_row> rows;
-    for (const platform::row& row : found.value())
+    for (const ports::row& row : found.value())
     {
         rows.push_back({row.key, row.value, row.version});
     }
@@ -77,13 +77,13 @@
 asio::awaitable<void>
 claim_sweeper::remove(std::vector<online::claim_row> expired)
 {
-    platform::transaction request;
+    ports::transaction request;
     for (const online::claim_row& row : expired)
     {
         request.conditions.push_back({row.key, row.version});
         request.writes.push_back({row.key, std::nullopt});
     }
-    const result<platform::transaction_outcome> outcome =
+    const result<ports::transaction_outcome> outcome =
         co_await this->table.transact(std::move(request));
     if (!outcome)
     {
--- a/servers/gate/claim_sweeper.hpp
+++ b/servers/gate/claim_sweeper.hpp
@@ -2,7 +2,7 @@
 #define CHICORY_SERVERS_GATE_CLAIM_SWEEPER_HPP
 
 #include "core/core.hpp"
-#include "platform/platform.hpp"
+#include "drivers/drivers.hpp"
 #include "policy/online/online.hpp"
 #include "servers/dispatch/dispatch.hpp"
 
@@ -23,7 +23,7 @@
     claim_sweeper(
         boost::asio::any_io_executor executor,
         const dispatching::fleet_cache& fleet,
-        platform::table_service& table,
+        ports::table_service& table,
         metrics& numbers,
         std::string own_gate,
         online::claim_sweep_settings settings);
@@ -40,7 +40,7 @@
 
     boost::asio::any_io_executor executor;
     const dispatching::fleet_cache& fleet;
-    platform::table_service& table;
+    ports::table_service& table;
     metrics& numbers;
     online::claim_sweep sweep;
     std::size_t page;
--- a/servers/gate/gate_process.cpp
+++ b/servers/gate/gate_process.cpp
@@ -39,8 +39,7 @@
                                          this->suspects,
                                          this->numbers,
                                          this->settings.vm_id),
-      table(
-          platform::make_table_service(this->client, this->settings.platform)),
+      table(drivers::make_table_service(this->client, this->settings.platform)),
       claims(
           io.get_executor(),
           *this->table,
--- a/servers/gate/gate_process.hpp
+++ b/servers/gate/gate_process.hpp
@@ -41,7 +41,7 @@
     dispatching::dispatcher owners;
     online::quarantine suspects;
     runner_owner owner;
-    std::unique_ptr<platform::table_service> table;
+    std::unique_ptr<ports::table_service> table;
     claim_keeper claims;
     claim_sweeper sweeper;
     gate_state state;
--- a/servers/settings/vm_settings.cpp
+++ b/servers/settings/vm_settings.cpp
@@ -57,7 +57,7 @@
         least_key_lifetime_s,
         most_key_lifetime_s));
     settings.log_level = read_level(reader);
-    settings.platform = platform::read_platform_settings(reader);
+    settings.platform = drivers::read_platform_settings(reader);
     BOOST_OUTCOME_TRY(reader.finish());
     return settings;
 }
--- a/servers/settings/vm_settings.hpp
+++ b/servers/settings/vm_settings.hpp
@@ -2,8 +2,8 @@
 #define CHICORY_SERVERS_SETTINGS_VM_SETTINGS_HPP
 
 #include "core/core.hpp"
+#include "drivers/drivers.hpp"
 #include "net/net.hpp"
-#include "platform/platform.hpp"
 
 #include <string>
 
@@ -34,7 +34,7 @@
     /// Age from which the row of an idempotency key may be removed.
     duration key_lifetime = std::chrono::hours(24);
     severity log_level = severity::info;
-    platform::platform_settings platform;
+    drivers::platform_settings platform;
 };
 
 /// Reads the settings from a TOML file. Error: invalid_input with one line for
--- a/servers/stored_configuration/stored_configuration.cpp
+++ b/servers/stored_configuration/stored_configuration.cpp
@@ -15,8 +15,7 @@
 
 constexpr std::int64_t rows_per_scan = 500;
 
-result<void>
-add_row(configuration::table_set& tables, const platform::row& found)
+result<void> add_row(configuration::table_set& tables, const ports::row& found)
 {
     const std::string_view key = found.key;
     if (key.starts_with(configuration::route_prefix))
@@ -39,7 +38,7 @@
 
 /// Adds all rows whose keys begin with a prefix.
 asio::awaitable<result<void>> add_rows(
-    platform::table_service& table,
+    ports::table_service& table,
     std::string prefix,
     configuration::table_set& tables)
 {
@@ -48,9 +47,9 @@
     while (!complete)
     {
         BOOST_OUTCOME_CO_TRY(
-            const std::vector<platform::row> rows,
+            const std::vector<ports::row> rows,
             co_await table.scan(prefix, after, rows_per_scan));
-        for (const platform::row& found : rows)
+        for (const ports::row& found : rows)
         {
             BOOST_OUTCOME_CO_TRY(add_row(tables, found));
             after = found.key;
@@ -63,11 +62,11 @@
 } // namespace
 
 asio::awaitable<result<configuration::revision_row>>
-read_revision(platform::table_service& table)
+read_revision(ports::table_service& table)
 {
     std::string key(configuration::revision_key);
     BOOST_OUTCOME_CO_TRY(
-        const std::optional<platform::row> found,
+        const std::optional<ports::row> found,
         co_await table.read(std::move(key)));
     if (!found)
     {
@@ -77,7 +76,7 @@
 }
 
 asio::awaitable<result<stored_configuration>>
-read_configuration(platform::table_service& table)
+read_configuration(ports::table_service& table)
 {
     BOOST_OUTCOME_CO_TRY(
         const configuration::revision_row before,
--- a/tests/platform/http_platform_test.cpp
+++ b/tests/drivers/http_platform_test.cpp
@@ -1,10 +1,10 @@
-#include "platform/platform.hpp"
+#include "drivers/drivers.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
-namespace chicory::platform
+namespace chicory::drivers
 {
 
 namespace asio = boost::asio;
@@ -57,14 +57,14 @@
         this->context.restart();
     }
 
-    /// Returns the kind of error with which a transaction ends.
+    /// Returns the kind of error with which a ports::transaction ends.
     error_kind transact_kind()
     {
         error_kind kind = error_kind::internal;
         const auto body = [&]() -> asio::awaitable<void>
         {
-            transaction request;
-            result<transaction_outcome> outcome =
+            ports::transaction request;
+            result<ports::transaction_outcome> outcome =
                 co_await this->table->transact(std::move(request));
             EXPECT_FALSE(outcome.has_value());
             kind = outcome ? error_kind::internal : outcome.error().kind;
@@ -77,9 +77,9 @@
     net::http_server server;
     net::http_client client;
     net::http_response response;
-    std::unique_ptr<table_service> table;
-    std::unique_ptr<object_store> objects;
-    std::unique_ptr<vm_list> list;
+    std::unique_ptr<ports::table_service> table;
+    std::unique_ptr<ports::object_store> objects;
+    std::unique_ptr<ports::vm_list> list;
 };
 
 } // namespace
@@ -114,12 +114,12 @@
                      {"key":"b","value":"x","version":3}]})";
     const auto body = [this]() -> asio::awaitable<void>
     {
-        transaction request;
-        result<transaction_outcome> outcome =
+        ports::transaction request;
+        result<ports::transaction_outcome> outcome =
             co_await this->table->transact(std::move(request));
         EXPECT_TRUE(outcome.has_value());
         EXPECT_FALSE(outcome.value().committed);
-        const std::vector<row> expected = {{"a", "", 0}, {"b", "x", 3}};
+        const std::vector<ports::row> expected = {{"a", "", 0}, {"b", "x", 3}};
         EXPECT_EQ(outcome.value().conflicts, expected);
     };
     this->run(body);
@@ -132,7 +132,7 @@
         this->response.body = text;
         const auto body = [this]() -> asio::awaitable<void>
         {
-            result<std::vector<listed_vm>> vms = co_await this->list->read();
+            result<std::vector<ports::listed_vm>> vms = co_await this->list->read();
             EXPECT_FALSE(vms.has_value());
         };
         this->run(body);
@@ -160,4 +160,4 @@
     EXPECT_EQ(kind_of_get(), error_kind::unavailable);
 }
 
-} // namespace chicory::platform
+} // namespace chicory::drivers
--- a/tests/servers/batch/chunk_holder_test.cpp
+++ b/tests/servers/batch/chunk_holder_test.cpp
@@ -91,7 +91,7 @@
 
     void apply(const write_plan& plan)
     {
-        platform::transaction request;
+        ports::transaction request;
         for (const planned_condition& condition : plan.conditions)
         {
             request.conditions.push_back({condition.key, condition.version});
@@ -106,7 +106,7 @@
     /// Cancels the job as a process with a sound way to the table would.
     void cancel_job()
     {
-        const platform::row& row = this->service.rows.at(job_row_key(job_id));
+        const ports::row& row = this->service.rows.at(job_row_key(job_id));
         stored_job job;
         job.record = decode_job(row.value).value();
         job.version = row.version;
--- a/tests/servers/control/configuration_watch_test.cpp
+++ b/tests/servers/control/configuration_watch_test.cpp
@@ -14,14 +14,14 @@
 constexpr std::chrono::seconds condition_limit(30);
 
 /// Table service in memory that can be taken down.
-class failing_table final : public platform::table_service
+class failing_table final : public ports::table_service
 {
 public:
     explicit failing_table(memory_table& source) : inner(source)
     {
     }
 
-    boost::asio::awaitable<result<std::optional<platform::row>>>
+    boost::asio::awaitable<result<std::optional<ports::row>>>
     read(std::string key) override
     {
         ++this->reads;
@@ -32,7 +32,7 @@
         co_return co_await this->inner.read(std::move(key));
     }
 
-    boost::asio::awaitable<result<std::vector<platform::row>>>
+    boost::asio::awaitable<result<std::vector<ports::row>>>
     scan(std::string prefix, std::string after, std::int64_t limit) override
     {
         ++this->reads;
@@ -44,8 +44,8 @@
             std::move(prefix), std::move(after), limit);
     }
 
-    boost::asio::awaitable<result<platform::transaction_outcome>>
-    transact(platform::transaction request) override
+    boost::asio::awaitable<result<ports::transaction_outcome>>
+    transact(ports::transaction request) override
     {
         co_return co_await this->inner.transact(std::move(request));
     }
@@ -139,7 +139,7 @@
         const configuration::edit_plan plan =
             configuration::plan_edit(wanted, this->tables, this->revision)
                 .value();
-        platform::transaction request;
+        ports::transaction request;
         for (const configuration::planned_condition& condition :
              plan.conditions)
         {
@@ -150,7 +150,7 @@
             request.writes.push_back({write.key, write.value});
         }
         ASSERT_TRUE(this->rows.run(request).committed);
-        const platform::row row = this->rows.rows.at("config/revision");
+        const ports::row row = this->rows.rows.at("config/revision");
         this->revision =
             configuration::decode_revision(row.value, row.version).value();
         this->tables.revision = this->revision.revision;
--- a/tests/servers/control_client/fleet_commands_test.cpp
+++ b/tests/servers/control_client/fleet_commands_test.cpp
@@ -16,9 +16,9 @@
 {
 
 namespace asio = boost::asio;
-using listed_vms = std::vector<platform::listed_vm>;
+using listed_vms = std::vector<ports::listed_vm>;
 
-class mock_vm_list : public platform::vm_list
+class mock_vm_list : public ports::vm_list
 {
 public:
     MOCK_METHOD(asio::awaitable<result<listed_vms>>, read, (), (override));
@@ -39,10 +39,9 @@
     co_return known;
 }
 
-platform::listed_vm
-make_vm(std::string id, std::string role, std::string service)
+ports::listed_vm make_vm(std::string id, std::string role, std::string service)
 {
-    platform::listed_vm vm;
+    ports::listed_vm vm;
     vm.id = std::move(id);
     vm.role = std::move(role);
     vm.state = "live";
@@ -101,7 +100,7 @@
     configuration::pool pool;
     pool.name = "night";
     pool.service = "llm";
-    platform::transaction request;
+    ports::transaction request;
     request.writes.push_back(
         {configuration::pool_key(pool.name), configuration::encode_pool(pool)});
     this->table.run(request);
@@ -122,7 +121,7 @@
     configuration::pool pool;
     pool.name = "night";
     pool.service = "llm";
-    platform::transaction request;
+    ports::transaction request;
     request.writes.push_back(
         {configuration::pool_key(pool.name), configuration::encode_pool(pool)});
     this->table.run(request);
--- a/tests/servers/control_client/job_commands_test.cpp
+++ b/tests/servers/control_client/job_commands_test.cpp
@@ -26,7 +26,7 @@
         job.id = "job-1";
         job.member = "kremstal";
         job.state = batch::job_state::running;
-        platform::transaction request;
+        ports::transaction request;
         request.writes.push_back(
             {batch::job_row_key(job.id), batch::encode(job)});
         request.writes.push_back({batch::open_row_key(job.id), "{}"});
--- a/tests/servers/gate/key_guard_test.cpp
+++ b/tests/servers/gate/key_guard_test.cpp
@@ -283,7 +283,7 @@
     this->table.before_transaction = [this]()
     {
         // Another sweep removed the row and a caller used the key again.
-        platform::row& row = this->table.rows.begin()->second;
+        ports::row& row = this->table.rows.begin()->second;
         row.version += 100;
     };
     this->sweep(sweeper);
--- a/tests/support/memory_platform.hpp
+++ b/tests/support/memory_platform.hpp
@@ -1,7 +1,7 @@
 #ifndef CHICORY_TESTS_SUPPORT_MEMORY_PLATFORM_HPP
 #define CHICORY_TESTS_SUPPORT_MEMORY_PLATFORM_HPP
 
-#include "platform/platform.hpp"
+#include "drivers/drivers.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -33,10 +33,10 @@
 };
 
 /// Table service in memory. Faults are used up in order, one a call.
-class memory_table final : public platform::table_service
+class memory_table final : public ports::table_service
 {
 public:
-    std::map<std::string, platform::row> rows;
+    std::map<std::string, ports::row> rows;
     std::deque<call_fault> transaction_faults;
     /// Only transactions that write a key with this prefix use up a fault.
     std::string faulty_prefix;
@@ -56,7 +56,7 @@
     /// Rows written and deleted.
     int row_writes = 0;
 
-    boost::asio::awaitable<result<std::optional<platform::row>>>
+    boost::asio::awaitable<result<std::optional<ports::row>>>
     read(std::string key) override
     {
         if (this->is_down || take(this->read_faults) != call_fault::none)
@@ -64,7 +64,7 @@
             ++this->refused;
             co_return make_error(error_kind::unavailable, "down");
         }
-        std::optional<platform::row> row;
+        std::optional<ports::row> row;
         if (const auto found = this->rows.find(key); found != this->rows.end())
         {
             row = found->second;
@@ -76,7 +76,7 @@
         co_return row;
     }
 
-    boost::asio::awaitable<result<std::vector<platform::row>>>
+    boost::asio::awaitable<result<std::vector<ports::row>>>
     scan(std::string prefix, std::string after, std::int64_t limit) override
     {
         if (this->is_down)
@@ -84,7 +84,7 @@
             co_return make_error(error_kind::unavailable, "down");
         }
         ++this->scans;
-        std::vector<platform::row> found;
+        std::vector<ports::row> found;
         for (const auto& [key, row] : this->rows)
         {
             const bool wanted = key.starts_with(prefix) && key > after;
@@ -96,8 +96,8 @@
         co_return found;
     }
 
-    boost::asio::awaitable<result<platform::transaction_outcome>>
-    transact(platform::transaction request) override
+    boost::asio::awaitable<result<ports::transaction_outcome>>
+    transact(ports::transaction request) override
     {
         ++this->transactions;
         const call_fault fault = this->is_faulty(request)
@@ -122,7 +122,7 @@
         {
             co_return make_error(error_kind::outcome_unknown, "lost");
         }
-        platform::transaction_outcome outcome = this->run(request);
+        ports::transaction_outcome outcome = this->run(request);
         if (fault == call_fault::answer_lost)
         {
             co_return make_error(error_kind::outcome_unknown, "lost");
@@ -142,22 +142,22 @@
     }
 
     /// Runs a transaction at once.
-    platform::transaction_outcome run(const platform::transaction& request)
+    ports::transaction_outcome run(const ports::transaction& request)
     {
-        platform::transaction_outcome outcome;
-        for (const platform::row_condition& condition : request.conditions)
+        ports::transaction_outcome outcome;
+        for (const ports::row_condition& condition : request.conditions)
         {
             const auto found = this->rows.find(condition.key);
-            const platform::row row = found == this->rows.end()
-                                          ? platform::row{condition.key, "", 0}
-                                          : found->second;
+            const ports::row row = found == this->rows.end()
+                                       ? ports::row{condition.key, "", 0}
+                                       : found->second;
             if (row.version != condition.version)
             {
                 outcome.conflicts.push_back(row);
             }
         }
         outcome.committed = outcome.conflicts.empty();
-        for (const platform::row_write& write : request.writes)
+        for (const ports::row_write& write : request.writes)
         {
             if (!outcome.committed)
             {
@@ -176,9 +176,9 @@
     }
 
 private:
-    bool is_faulty(const platform::transaction& request) const
+    bool is_faulty(const ports::transaction& request) const
     {
-        for (const platform::row_write& write : request.writes)
+        for (const ports::row_write& write : request.writes)
         {
             if (write.key.starts_with(this->faulty_prefix))
             {
@@ -192,7 +192,7 @@
 };
 
 /// Object store in memory.
-class memory_objects final : public platform::object_store
+class memory_objects final : public ports::object_store
 {
 public:
     std::map<std::string, std::string> objects;
