Net: Bound calls apart, cancel them, and skip answers to earlier requests

Cause: a runner that is down must be noticed by its connect time, a caller that leaves must end a call that waits for its head, and late answers on a kept connection belong to earlier requests. Change: open_limits, http_cancellation, the echoed header, Keep-Alive's time, limits of the server and an end after the next answer. Base64 and the events of the node join core.

--- a/core/core.hpp
+++ b/core/core.hpp
@@ -3,6 +3,7 @@
 #ifndef CHICORY_CORE_CORE_HPP
 #define CHICORY_CORE_CORE_HPP
 
+#include "core/base64.hpp"
 #include "core/chart.hpp"
 #include "core/enum_table.hpp"
 #include "core/error.hpp"
--- a/core/event.hpp
+++ b/core/event.hpp
@@ -19,6 +19,7 @@
     listening = 104,
     signal_received = 105,
     work_cut_off = 106,
+    settings_reloaded = 107,
 
     // 200: online requests, owners and runners.
     request_refused = 200,
@@ -32,6 +33,12 @@
     batch_yielded = 208,
     claim_failed = 209,
     answer_resumed = 210,
+    request_admitted = 211,
+    request_placed = 212,
+    request_completed = 213,
+    request_failed = 214,
+    request_abandoned = 215,
+    coordinator_silent = 216,
 
     // 300: batch jobs.
     job_accepted = 300,
@@ -43,6 +50,11 @@
     chunk_lease_lost = 306,
     item_failed = 307,
     commit_deferred = 308,
+    item_placed = 309,
+    item_interrupted = 310,
+    item_finished = 311,
+    job_taken_over = 312,
+    job_record_rejected = 313,
 
     // 400: membership.
     vm_alive = 400,
@@ -57,6 +69,8 @@
     table_service_unavailable = 502,
     table_service_back = 503,
     object_store_unavailable = 504,
+    runner_entry_rejected = 505,
+    runner_changed = 506,
 
     // 600: orders to engines.
     order_lease_taken = 600,
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -9,9 +9,14 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
+#include <functional>
 #include <map>
 #include <optional>
+#include <string_view>
+#include <system_error>
 #include <utility>
 #include <vector>
 
@@ -28,6 +33,11 @@
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_size = 16384;
 constexpr std::size_t max_idle_per_server = 64;
+/// Responses to earlier requests that a call skips at most.
+constexpr int max_skipped_responses = 3;
+/// Time by which a kept connection is given up before the server may close
+/// it, so that a request does not cross the close.
+constexpr std::chrono::milliseconds keep_alive_margin(500);
 
 struct connection
 {
@@ -37,6 +47,9 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    /// When the server may close the kept connection.
+    std::chrono::steady_clock::time_point usable_until =
+        std::chrono::steady_clock::time_point::max();
 };
 
 std::string describe(const endpoint& server)
@@ -83,7 +96,9 @@
         {
             std::unique_ptr<connection> candidate = std::move(kept.back());
             kept.pop_back();
-            if (!is_stale(candidate->stream.socket()))
+            if (candidate->buffer.size() == 0 &&
+                std::chrono::steady_clock::now() < candidate->usable_until &&
+                !is_stale(candidate->stream.socket()))
             {
                 return candidate;
             }
@@ -105,6 +120,26 @@
 namespace
 {
 
+/// Returns until when a connection with this `Keep-Alive` header may carry
+/// another request.
+std::chrono::steady_clock::time_point
+read_usable_until(const std::string& header)
+{
+    static constexpr std::string_view name = "timeout=";
+    const std::size_t start = header.find(name);
+    const auto now = std::chrono::steady_clock::now();
+    int seconds = 0;
+    if (start == std::string::npos || std::from_chars(
+                                          header.data() + start + name.size(),
+                                          header.data() + header.size(),
+                                          seconds)
+                                              .ec != std::errc())
+    {
+        return std::chrono::steady_clock::time_point::max();
+    }
+    return now + std::chrono::seconds(seconds) - keep_alive_margin;
+}
+
 /// A response read from one connection.
 class beast_http_stream final : public http_stream
 {
@@ -118,7 +153,6 @@
         : server(std::move(peer)), link(std::move(source)),
           keep(std::move(on_finished))
     {
-        this->parser.body_limit(boost::none);
     }
 
     const http_response& head() const override
@@ -126,29 +160,56 @@
         return this->response;
     }
 
-    asio::awaitable<beast::error_code> read_head()
+    /// Reads the head of the response. Responses whose `echoed` header has
+    /// another value belong to earlier requests and are skipped.
+    asio::awaitable<beast::error_code>
+    read_head(const std::string& echoed, const std::string& expected)
     {
-        auto [code, count] = co_await http::async_read_header(
-            this->link->stream, this->link->buffer, this->parser, as_result);
-        if (!code)
+        for (int skipped = 0; skipped <= max_skipped_responses; ++skipped)
         {
+            this->parser.emplace();
+            this->parser->body_limit(boost::none);
+            auto [code, count] = co_await http::async_read_header(
+                this->link->stream,
+                this->link->buffer,
+                *this->parser,
+                as_result);
+            if (code)
+            {
+                co_return code;
+            }
             this->copy_head();
+            const auto found = this->response.headers.find(echoed);
+            if (echoed.empty() || found == this->response.headers.end() ||
+                found->second == expected)
+            {
+                co_return code;
+            }
+            const beast::error_code drained = co_await this->drain();
+            if (drained)
+            {
+                co_return drained;
+            }
+            if (!this->parser->keep_alive())
+            {
+                co_return make_error_code(http::error::end_of_stream);
+            }
         }
-        co_return code;
+        co_return make_error_code(http::error::unexpected_body);
     }
 
     asio::awaitable<result<std::string>> read_some(duration silence) override
     {
         std::array<char, read_size> bytes{};
-        while (this->link != nullptr && !this->parser.is_done())
+        while (this->link != nullptr && !this->parser->is_done())
         {
-            this->parser.get().body().data = bytes.data();
-            this->parser.get().body().size = bytes.size();
+            this->parser->get().body().data = bytes.data();
+            this->parser->get().body().size = bytes.size();
             this->link->stream.expires_after(silence);
             auto [code, count] = co_await http::async_read_some(
                 this->link->stream,
                 this->link->buffer,
-                this->parser,
+                *this->parser,
                 as_result);
             if (this->link == nullptr)
             {
@@ -159,7 +220,7 @@
                 co_return make_stream_error(this->server, code);
             }
             const std::size_t length =
-                bytes.size() - this->parser.get().body().size;
+                bytes.size() - this->parser->get().body().size;
             if (length > 0)
             {
                 co_return std::string(bytes.data(), length);
@@ -178,9 +239,31 @@
     }
 
 private:
+    /// Reads the rest of a response that nobody wants.
+    asio::awaitable<beast::error_code> drain()
+    {
+        std::array<char, read_size> bytes{};
+        while (!this->parser->is_done())
+        {
+            this->parser->get().body().data = bytes.data();
+            this->parser->get().body().size = bytes.size();
+            auto [code, count] = co_await http::async_read_some(
+                this->link->stream,
+                this->link->buffer,
+                *this->parser,
+                as_result);
+            if (code && code != http::error::need_buffer)
+            {
+                co_return code;
+            }
+        }
+        co_return beast::error_code();
+    }
+
     void copy_head()
     {
-        const http::response<http::buffer_body>& source = this->parser.get();
+        this->response = http_response();
+        const http::response<http::buffer_body>& source = this->parser->get();
         this->response.status = source.result_int();
         for (const auto& field : source)
         {
@@ -196,16 +279,25 @@
 
     void release()
     {
-        if (this->link != nullptr && this->parser.keep_alive())
+        if (this->link == nullptr || !this->parser->keep_alive() ||
+            this->link->buffer.size() > 0)
+        {
+            return;
+        }
+        const http_headers& headers = this->response.headers;
+        if (const auto found = headers.find("keep-alive");
+            found != headers.end())
         {
-            this->keep(std::move(this->link));
+            this->link->usable_until = read_usable_until(found->second);
         }
+        this->keep(std::move(this->link));
     }
 
     endpoint server;
     std::unique_ptr<connection> link;
     keep_function keep;
-    http::response_parser<http::buffer_body> parser;
+    /// Made anew for each response that is skipped.
+    std::optional<http::response_parser<http::buffer_body>> parser;
     http_response response;
 };
 
@@ -238,31 +330,85 @@
 
 http_client::~http_client() = default;
 
+void http_cancellation::cancel()
+{
+    this->cancelled = true;
+    if (this->close)
+    {
+        this->close();
+    }
+}
+
+bool http_cancellation::is_cancelled() const
+{
+    return this->cancelled;
+}
+
+void http_cancellation::set_close(std::function<void()> hook)
+{
+    this->close = std::move(hook);
+}
+
 asio::awaitable<open_outcome>
 http_client::open(endpoint server, http_request request, duration limit)
 {
+    open_limits limits;
+    limits.connect = limit;
+    limits.head = limit;
+    co_return co_await this->open(
+        std::move(server), std::move(request), std::move(limits), nullptr);
+}
+
+asio::awaitable<open_outcome> http_client::open(
+    endpoint server,
+    http_request request,
+    open_limits limits,
+    http_cancellation* cancellation)
+{
+    http_cancellation unused;
+    http_cancellation& ending =
+        cancellation == nullptr ? unused : *cancellation;
     const std::shared_ptr<state> owner = this->shared;
     open_outcome outcome;
     std::unique_ptr<connection> link = owner->take_idle(server);
-    if (link == nullptr)
+    const bool fresh = link == nullptr;
+    if (fresh)
     {
         link = std::make_unique<connection>(owner->executor);
-        link->stream.expires_after(limit);
+    }
+    // The connection may be freed before the hook is replaced, so that the
+    // hook is taken back before each return.
+    beast::tcp_stream* const stream_in_use = &link->stream;
+    ending.set_close(
+        [stream_in_use]
+        {
+            stream_in_use->close();
+        });
+    const auto started = std::chrono::steady_clock::now();
+    if (fresh)
+    {
+        link->stream.expires_after(std::min(limits.connect, limits.head));
         const beast::error_code failed = co_await connect(*link, server);
-        if (failed)
+        if (failed || ending.is_cancelled())
         {
+            ending.set_close({});
             outcome.failure = make_stream_error(server, failed);
             co_return outcome;
         }
     }
-    link->stream.expires_after(limit);
+    link->stream.expires_at(started + limits.head);
     const http::request<http::string_body> message =
         make_request(server, std::move(request));
+    const std::string expected =
+        limits.echoed_header.empty()
+            ? std::string()
+            : std::string(message[limits.echoed_header]);
     outcome.sent = send_state::maybe_sent;
     auto [write_code, written] =
         co_await http::async_write(link->stream, message, as_result);
     if (write_code)
     {
+        ending.set_close({});
         outcome.failure = make_stream_error(server, write_code);
         co_return outcome;
     }
@@ -278,7 +424,9 @@
     std::unique_ptr<beast_http_stream> stream =
         std::make_unique<beast_http_stream>(
             server, std::move(link), std::move(keep));
-    const beast::error_code head_code = co_await stream->read_head();
+    const beast::error_code head_code =
+        co_await stream->read_head(limits.echoed_header, expected);
+    ending.set_close({});
     if (head_code)
     {
         outcome.failure = make_stream_error(server, head_code);
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -8,6 +8,8 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -42,6 +44,36 @@
     virtual void close() = 0;
 };
 
+/// Ends a call from outside while `http_client::open` waits.
+class http_cancellation
+{
+public:
+    /// Closes the connection of the call in progress, and of a later one.
+    void cancel();
+
+    bool is_cancelled() const;
+
+    /// Sets what closes the connection in use; empty when there is none.
+    void set_close(std::function<void()> hook);
+
+private:
+    std::function<void()> close;
+    bool cancelled = false;
+};
+
+/// Bounds of one call.
+struct open_limits
+{
+    /// Time to connect, when no kept connection can be used.
+    duration connect = std::chrono::seconds(2);
+    /// Time from the start of the call to the head of the response.
+    duration head = std::chrono::seconds(2);
+    /// Header that the server repeats from the request; a response that
+    /// carries another value there answers an earlier request and is
+    /// skipped. Empty for a server that repeats none.
+    std::string echoed_header;
+};
+
 /// What `http_client::open` gives.
 struct open_outcome
 {
@@ -67,6 +99,14 @@
     boost::asio::awaitable<open_outcome>
     open(endpoint server, http_request request, duration limit);
 
+    /// Like the other one with separate bounds. `cancellation` may be null;
+    /// it must outlive the call and is released when the call returns.
+    boost::asio::awaitable<open_outcome> open(
+        endpoint server,
+        http_request request,
+        open_limits limits,
+        http_cancellation* cancellation);
+
     /// Sends a request and reads the whole response. Errors: unavailable when
     /// certainly not sent, timeout or outcome_unknown otherwise.
     boost::asio::awaitable<result<http_response>>
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -29,9 +29,7 @@
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_size = 65536;
-constexpr std::chrono::seconds idle_limit(120);
-constexpr std::chrono::seconds body_limit(60);
-constexpr std::chrono::seconds write_limit(30);
+constexpr std::size_t first_read_size = 4096;
 
 std::string to_lower(std::string_view text)
 {
@@ -62,13 +60,25 @@
     bool busy = false;
 };
 
+/// What all connections of a server share.
+struct server_options
+{
+    http_server_limits limits;
+    /// True when no connection may carry another request.
+    bool closing = false;
+};
+
 class beast_exchange final : public http_exchange
 {
 public:
-    explicit beast_exchange(std::shared_ptr<server_connection> source)
-        : link(std::move(source)), active(std::make_shared<bool>(true))
+    beast_exchange(
+        std::shared_ptr<server_connection> source,
+        std::shared_ptr<const server_options> shared_options)
+        : link(std::move(source)), options(std::move(shared_options)),
+          active(std::make_shared<bool>(true))
     {
         this->parser.body_limit(boost::none);
+        this->parser.header_limit(this->options->limits.header_bytes);
     }
 
     ~beast_exchange() override
@@ -78,9 +88,31 @@
 
     asio::awaitable<bool> read_head()
     {
-        this->link->stream.expires_after(idle_limit);
+        if (this->link->buffer.size() == 0)
+        {
+            this->link->stream.expires_after(this->options->limits.idle);
+            // Reads the first piece only, so that an idle connection and a
+            // slow header have limits of their own.
+            auto [first, size] = co_await this->link->stream.async_read_some(
+                this->link->buffer.prepare(first_read_size), as_result);
+            if (first)
+            {
+                co_return false;
+            }
+            this->link->buffer.commit(size);
+        }
+        this->link->busy = true;
+        this->link->stream.expires_after(this->options->limits.header);
         auto [code, count] = co_await http::async_read_header(
             this->link->stream, this->link->buffer, this->parser, as_result);
+        if (code == http::error::header_limit)
+        {
+            http_response refusal;
+            refusal.status = 431;
+            this->must_close = true;
+            co_await this->respond(std::move(refusal));
+            co_return false;
+        }
         if (code)
         {
             co_return false;
@@ -113,7 +145,7 @@
         {
             this->parser.get().body().data = this->piece.data();
             this->parser.get().body().size = this->piece.size();
-            this->link->stream.expires_after(body_limit);
+            this->link->stream.expires_after(this->options->limits.body);
             auto [code, count] = co_await http::async_read_some(
                 this->link->stream,
                 this->link->buffer,
@@ -165,7 +197,7 @@
         response.body() = std::move(source.body);
         response.prepare_payload();
         this->finished = true;
-        this->link->stream.expires_after(write_limit);
+        this->link->stream.expires_after(this->options->limits.write);
         auto [code, count] =
             co_await http::async_write(this->link->stream, response, as_result);
         if (code)
@@ -183,7 +215,7 @@
         response.chunked(true);
         http::response_serializer<http::empty_body> serializer(response);
         this->started = true;
-        this->link->stream.expires_after(write_limit);
+        this->link->stream.expires_after(this->options->limits.write);
         auto [code, count] = co_await http::async_write_header(
             this->link->stream, serializer, as_result);
         if (code)
@@ -196,7 +228,7 @@
 
     asio::awaitable<result<void>> write_chunk(std::string_view bytes) override
     {
-        this->link->stream.expires_after(write_limit);
+        this->link->stream.expires_after(this->options->limits.write);
         auto [code, count] = co_await asio::async_write(
             this->link->stream,
             http::make_chunk(asio::buffer(bytes.data(), bytes.size())),
@@ -212,7 +244,7 @@
     asio::awaitable<result<void>> end_stream() override
     {
         this->finished = true;
-        this->link->stream.expires_after(write_limit);
+        this->link->stream.expires_after(this->options->limits.write);
         auto [code, count] = co_await asio::async_write(
             this->link->stream, http::make_chunk_last(), as_result);
         if (code)
@@ -263,8 +295,14 @@
         this->request.target = std::string(source.target());
         for (const auto& field : source)
         {
-            this->request.headers[to_lower(field.name_string())] =
-                std::string(field.value());
+            const auto [entry, first] = this->request.headers.try_emplace(
+                to_lower(field.name_string()), field.value());
+            if (!first)
+            {
+                // A field that comes twice is a list.
+                entry->second += ", ";
+                entry->second += field.value();
+            }
         }
         this->expects_continue =
             to_lower(source[http::field::expect]) == "100-continue";
@@ -280,17 +318,21 @@
             response.set(name, value);
         }
         // A body that was not read would be taken for the next request.
-        this->keep_alive = this->parser.is_done() && this->parser.keep_alive();
+        this->keep_alive = this->parser.is_done() &&
+                           this->parser.keep_alive() && !this->must_close &&
+                           !this->options->closing;
         response.keep_alive(this->keep_alive);
     }
 
     std::shared_ptr<server_connection> link;
+    std::shared_ptr<const server_options> options;
     std::shared_ptr<bool> active;
     http::request_parser<http::buffer_body> parser;
     http_request request;
     std::string piece;
     bool expects_continue = false;
     bool keep_alive = false;
+    bool must_close = false;
     bool started = false;
     bool finished = false;
     bool broken = false;
@@ -308,6 +350,8 @@
     asio::any_io_executor executor;
     asio::ip::tcp::acceptor acceptor;
     http_handler handler;
+    std::shared_ptr<server_options> options =
+        std::make_shared<server_options>();
     std::set<std::shared_ptr<server_connection>> connections;
     std::size_t busy = 0;
     bool accepting = false;
@@ -341,8 +385,9 @@
         bool go_on = true;
         while (go_on)
         {
-            beast_exchange exchange(link);
+            beast_exchange exchange(link, this->options);
             const bool received = co_await exchange.read_head();
+            link->busy = false;
             if (!received)
             {
                 break;
@@ -367,7 +412,8 @@
         }
         --this->busy;
         link.busy = false;
-        co_return exchange.can_continue() && this->accepting;
+        co_return exchange.can_continue() && this->accepting &&
+            !this->options->closing;
     }
 };
 
@@ -443,6 +489,24 @@
     }
 }
 
+void http_server::close_after_answers()
+{
+    this->shared->options->closing = true;
+    for (const std::shared_ptr<server_connection>& link :
+         this->shared->connections)
+    {
+        if (!link->busy)
+        {
+            link->stream.close();
+        }
+    }
+}
+
+void http_server::set_limits(const http_server_limits& limits)
+{
+    this->shared->options->limits = limits;
+}
+
 std::size_t http_server::in_progress() const
 {
     return this->shared->busy;
--- a/net/http_server.hpp
+++ b/net/http_server.hpp
@@ -8,7 +8,9 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -17,6 +19,21 @@
 namespace chicory::net
 {
 
+/// What a server bears of its clients.
+struct http_server_limits
+{
+    /// Largest header in bytes; a longer one is answered with status 431.
+    std::uint32_t header_bytes = 8192;
+    /// Time that a kept connection may be idle.
+    duration idle = std::chrono::seconds(120);
+    /// Time to receive a header, from its first byte on.
+    duration header = std::chrono::seconds(120);
+    /// Time without progress while a body is received.
+    duration body = std::chrono::seconds(60);
+    /// Time without progress while an answer is sent.
+    duration write = std::chrono::seconds(30);
+};
+
 /// One request and the way to answer it.
 class http_exchange
 {
@@ -78,6 +95,13 @@
     /// progress go on.
     void stop_accepting();
 
+    /// Ends each connection with its next answer, and those that are idle at
+    /// once; new connections are still accepted.
+    void close_after_answers();
+
+    /// Sets limits for what is received from now on.
+    void set_limits(const http_server_limits& limits);
+
     /// Returns the number of exchanges in progress.
     std::size_t in_progress() const;
 
