--- /dev/null
+++ b/policy/serving/coordinator_choice.hpp
@@ -0,0 +1,61 @@
+#ifndef CHICORY_POLICY_SERVING_COORDINATOR_CHOICE_HPP
+#define CHICORY_POLICY_SERVING_COORDINATOR_CHOICE_HPP
+
+#include "core/core.hpp"
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chicory::serving
+{
+
+/// Orders nodes for a service by rendezvous hashing: the first that can be
+/// reached coordinates the service's slots. The same nodes give the same
+/// order everywhere.
+std::vector<std::string> order_coordinators(
+    const std::string& service, const std::vector<std::string>& nodes);
+
+/// Times by which a coordinator is taken for silent.
+struct coordinator_contact_settings
+{
+    /// Wait for an answer; a round trip between zones takes some 12 ms.
+    duration answer_limit = std::chrono::milliseconds(90);
+    /// Time for which a silent node is not asked again.
+    duration avoidance = std::chrono::milliseconds(1000);
+};
+
+/// Notes which nodes do not answer, so that requests go on without them.
+/// Answers the load pattern of a coordinator that dies or freezes with
+/// requests of all nodes under way.
+class coordinator_contact
+{
+public:
+    explicit coordinator_contact(coordinator_contact_settings initial = {});
+
+    void on_sent(time_point now, const std::string& node);
+    void on_heard(time_point now, const std::string& node);
+
+    /// Returns whether a node should be asked.
+    bool is_answering(time_point now, const std::string& node);
+
+    /// Returns whether a message to a node was not answered yet.
+    bool awaits_answer(const std::string& node) const;
+
+private:
+    struct contact
+    {
+        /// First message that was not answered yet.
+        std::optional<time_point> unanswered_since;
+        time_point avoided_until;
+    };
+
+    coordinator_contact_settings settings;
+    std::map<std::string, contact> nodes;
+};
+
+} // namespace chicory::serving
+
+#endif
--- /dev/null
+++ b/policy/serving/event_splitter.cpp
@@ -0,0 +1,107 @@
+#include "policy/serving/event_splitter.hpp"
+
+#include <algorithm>
+
+namespace chicory::serving
+{
+
+namespace
+{
+
+constexpr std::string_view event_end = "\n\n";
+constexpr std::string_view id_field = "id:";
+constexpr std::string_view data_field = "data:";
+
+/// Returns what follows the colon, without the one space that may lead it.
+std::string_view value_of(std::string_view line, std::string_view field)
+{
+    std::string_view value = line.substr(field.size());
+    if (value.starts_with(' '))
+    {
+        value.remove_prefix(1);
+    }
+    return value;
+}
+
+} // namespace
+
+std::vector<stream_event> read_events(std::string_view whole)
+{
+    std::vector<stream_event> events;
+    while (!whole.empty())
+    {
+        const std::size_t end = whole.find(event_end);
+        std::string_view block = whole.substr(0, end);
+        whole.remove_prefix(
+            end == std::string_view::npos ? whole.size()
+                                          : end + event_end.size());
+        stream_event event;
+        bool has_data = false;
+        while (!block.empty())
+        {
+            const std::size_t break_at = block.find('\n');
+            std::string_view line = block.substr(0, break_at);
+            block.remove_prefix(
+                break_at == std::string_view::npos ? block.size()
+                                                   : break_at + 1);
+            if (line.ends_with('\r'))
+            {
+                line.remove_suffix(1);
+            }
+            if (line.starts_with(id_field))
+            {
+                event.id = value_of(line, id_field);
+            }
+            else if (line.starts_with(data_field))
+            {
+                event.data += has_data ? "\n" : "";
+                event.data += value_of(line, data_field);
+                has_data = true;
+            }
+        }
+        if (has_data || !event.id.empty())
+        {
+            events.push_back(std::move(event));
+        }
+    }
+    return events;
+}
+
+std::string event_splitter::take(std::string_view bytes)
+{
+    const std::size_t search_from =
+        this->kept.empty() ? 0 : this->kept.size() - 1;
+    this->kept += bytes;
+    const std::size_t end = this->kept.rfind(event_end);
+    if (end == std::string::npos || end < search_from)
+    {
+        return std::string();
+    }
+    std::string whole = this->kept.substr(0, end + event_end.size());
+    this->kept.erase(0, whole.size());
+    for (const stream_event& event : read_events(whole))
+    {
+        if (!event.id.empty())
+        {
+            this->last = event.id;
+        }
+    }
+    return whole;
+}
+
+const std::string& event_splitter::last_id() const
+{
+    return this->last;
+}
+
+std::size_t event_splitter::unfinished_bytes() const
+{
+    return this->kept.size();
+}
+
+void event_splitter::drop_unfinished()
+{
+    this->kept.clear();
+}
+
+} // namespace chicory::serving
--- /dev/null
+++ b/policy/serving/job_ownership.cpp
@@ -0,0 +1,61 @@
+#include "policy/serving/job_ownership.hpp"
+
+#include "policy/serving/coordinator_choice.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace chicory::serving
+{
+
+job_ownership::job_ownership(live_node node) : self(std::move(node))
+{
+}
+
+bool job_ownership::owns(const job_record& job) const
+{
+    return job.owner == this->self.id &&
+           job.owner_incarnation == this->self.incarnation;
+}
+
+bool job_ownership::should_take_over(
+    time_point now, const job_record& job, const std::vector<live_node>& live)
+{
+    // What an earlier process of this node owned has nobody else who would
+    // miss its owner.
+    if (job.owner == this->self.id)
+    {
+        return job.owner_incarnation < this->self.incarnation;
+    }
+    const bool alive = std::any_of(
+        live.begin(),
+        live.end(),
+        [&job](const live_node& node)
+        {
+            return node.id == job.owner &&
+                   node.incarnation <= job.owner_incarnation;
+        });
+    if (alive)
+    {
+        this->missed_since.erase(job.id);
+        return false;
+    }
+    const time_point missed =
+        this->missed_since.try_emplace(job.id, now).first->second;
+    std::vector<std::string> names;
+    names.reserve(live.size());
+    for (const live_node& node : live)
+    {
+        names.push_back(node.id);
+    }
+    const std::vector<std::string> order = order_coordinators(job.id, names);
+    return now - missed >= takeover_delay && !order.empty() &&
+           order.front() == this->self.id;
+}
+
+void job_ownership::forget(const std::string& job)
+{
+    this->missed_since.erase(job);
+}
+
+} // namespace chicory::serving
--- /dev/null
+++ b/policy/serving/job_ownership.hpp
@@ -0,0 +1,53 @@
+#ifndef CHICORY_POLICY_SERVING_JOB_OWNERSHIP_HPP
+#define CHICORY_POLICY_SERVING_JOB_OWNERSHIP_HPP
+
+#include "policy/serving/job_record.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chicory::serving
+{
+
+/// A node that takes work, and the start of its process.
+struct live_node
+{
+    std::string id;
+    std::uint64_t incarnation = 0;
+};
+
+/// Decides when this node takes over a job. Answers the load patterns of
+/// nodes that die, leave, or are all restarted at once with jobs under way:
+/// each job goes to one node, the same in the view of all.
+class job_ownership
+{
+public:
+    /// Time for which an owner must be missed by another node, so that a
+    /// short doubt about a node moves no work.
+    static constexpr duration takeover_delay = std::chrono::milliseconds(400);
+
+    explicit job_ownership(live_node node);
+
+    bool owns(const job_record& job) const;
+
+    /// Returns whether this node is to take over an open job.
+    bool should_take_over(
+        time_point now,
+        const job_record& job,
+        const std::vector<live_node>& live);
+
+    /// Forgets a job that needs no owner any more.
+    void forget(const std::string& job);
+
+private:
+    live_node self;
+    /// When the owner of a job was first missed.
+    std::map<std::string, time_point> missed_since;
+};
+
+} // namespace chicory::serving
+
+#endif
--- /dev/null
+++ b/policy/serving/runner_directory.cpp
@@ -0,0 +1,220 @@
+#include "policy/serving/runner_directory.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace chicory::serving
+{
+
+runner_directory::runner_directory(runner_directory_settings initial)
+    : settings(initial)
+{
+}
+
+void runner_directory::on_entry(time_point now, const runner_entry& entry)
+{
+    if (const auto removal = this->removed.find(entry.id);
+        removal != this->removed.end() && removal->second >= entry.version)
+    {
+        return;
+    }
+    const auto found = this->runners.find(entry.id);
+    if (found != this->runners.end() &&
+        found->second.entry.version > entry.version)
+    {
+        return;
+    }
+    this->removed.erase(entry.id);
+    known_runner known;
+    if (found != this->runners.end())
+    {
+        known = found->second;
+        const bool restarted = known.entry.born_ms != entry.born_ms ||
+                               known.entry.address != entry.address ||
+                               known.entry.port != entry.port;
+        // A lapsed entry that is written again, or a new start, shows a
+        // runner that can be used after all.
+        if (restarted || known.lapsed_until)
+        {
+            known.avoided_until = now;
+            known.avoidance = duration::zero();
+        }
+        known.gone =
+            known.gone && !restarted && known.entry.version == entry.version;
+    }
+    known.entry = entry;
+    known.lapsed_until.reset();
+    this->runners[entry.id] = std::move(known);
+    ++this->changes;
+}
+
+bool runner_directory::may_have_lapsed(time_point now) const
+{
+    return this->store_away ||
+           (this->was_away &&
+            now - this->store_back_at < this->settings.return_time);
+}
+
+void runner_directory::remove(time_point now, const std::string& id)
+{
+    const auto found = this->runners.find(id);
+    if (found == this->runners.end())
+    {
+        return;
+    }
+    known_runner& known = found->second;
+    const bool serving = known.entry.state == runner_state::ready;
+    if (serving && this->may_have_lapsed(now))
+    {
+        if (!known.lapsed_until)
+        {
+            const time_point from =
+                this->store_away ? now : this->store_back_at;
+            known.lapsed_until = from + this->settings.return_time;
+        }
+        return;
+    }
+    this->runners.erase(found);
+    ++this->changes;
+}
+
+void runner_directory::on_removed(
+    time_point now, const std::string& id, std::int64_t version)
+{
+    const auto found = this->runners.find(id);
+    if (found != this->runners.end() && found->second.entry.version > version)
+    {
+        return;
+    }
+    this->removed[id] = version;
+    this->remove(now, id);
+}
+
+void runner_directory::on_snapshot(
+    time_point now,
+    const std::vector<runner_entry>& entries,
+    std::int64_t version)
+{
+    std::set<std::string> present;
+    for (const runner_entry& entry : entries)
+    {
+        present.insert(entry.id);
+        this->on_entry(now, entry);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, known] : this->runners)
+    {
+        if (!present.contains(id) && known.entry.version <= version)
+        {
+            missing.push_back(id);
+        }
+    }
+    for (const std::string& id : missing)
+    {
+        this->on_removed(now, id, version);
+    }
+}
+
+void runner_directory::on_store_lost(time_point now)
+{
+    static_cast<void>(now);
+    this->store_away = true;
+}
+
+void runner_directory::on_store_back(time_point now)
+{
+    if (this->store_away)
+    {
+        this->store_away = false;
+        this->was_away = true;
+        this->store_back_at = now;
+    }
+}
+
+void runner_directory::on_gone(const std::string& id)
+{
+    if (const auto found = this->runners.find(id); found != this->runners.end())
+    {
+        found->second.gone = true;
+        ++this->changes;
+    }
+}
+
+void runner_directory::on_unreachable(time_point now, const std::string& id)
+{
+    const auto found = this->runners.find(id);
+    if (found == this->runners.end())
+    {
+        return;
+    }
+    known_runner& known = found->second;
+    known.avoidance = std::clamp(
+        known.avoidance * 2,
+        this->settings.first_avoidance,
+        this->settings.longest_avoidance);
+    known.avoided_until = now + known.avoidance;
+}
+
+void runner_directory::on_reached(const std::string& id)
+{
+    if (const auto found = this->runners.find(id); found != this->runners.end())
+    {
+        found->second.avoidance = duration::zero();
+        found->second.avoided_until = time_point();
+    }
+}
+
+void runner_directory::on_tick(time_point now)
+{
+    std::erase_if(
+        this->runners,
+        [this, now](const auto& item)
+        {
+            const known_runner& known = item.second;
+            const bool over = !this->store_away && known.lapsed_until &&
+                              now >= *known.lapsed_until &&
+                              !this->may_have_lapsed(now);
+            this->changes += over ? 1 : 0;
+            return over;
+        });
+}
+
+bool runner_directory::is_usable(time_point now, const std::string& id) const
+{
+    const auto found = this->runners.find(id);
+    if (found == this->runners.end())
+    {
+        return false;
+    }
+    const known_runner& known = found->second;
+    return known.entry.state == runner_state::ready && !known.gone &&
+           now >= known.avoided_until;
+}
+
+const runner_entry* runner_directory::find(const std::string& id) const
+{
+    const auto found = this->runners.find(id);
+    return found == this->runners.end() ? nullptr : &found->second.entry;
+}
+
+std::vector<const runner_entry*>
+runner_directory::usable(time_point now, const std::string& service) const
+{
+    std::vector<const runner_entry*> found;
+    for (const auto& [id, known] : this->runners)
+    {
+        if (known.entry.service == service && this->is_usable(now, id))
+        {
+            found.push_back(&known.entry);
+        }
+    }
+    return found;
+}
+
+std::uint64_t runner_directory::version() const
+{
+    return this->changes;
+}
+
+} // namespace chicory::serving
--- /dev/null
+++ b/policy/serving/runner_directory.hpp
@@ -0,0 +1,129 @@
+#ifndef CHICORY_POLICY_SERVING_RUNNER_DIRECTORY_HPP
+#define CHICORY_POLICY_SERVING_RUNNER_DIRECTORY_HPP
+
+#include "core/core.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chicory::serving
+{
+
+/// What a runner says of itself.
+enum class runner_state
+{
+    ready,
+    draining,
+};
+
+/// A runner as its entry in the platform's store describes it.
+struct runner_entry
+{
+    std::string id;
+    std::string service;
+    std::string address;
+    std::uint16_t port = 0;
+    std::string zone;
+    std::int64_t slots = 1;
+    runner_state state = runner_state::ready;
+    /// Milliseconds since 1970 at which this process of the runner started.
+    std::int64_t born_ms = 0;
+    /// Store version of the entry.
+    std::int64_t version = 0;
+
+    bool operator==(const runner_entry&) const = default;
+};
+
+/// Times by which the directory judges.
+struct runner_directory_settings
+{
+    /// Time after the store's return in which runners whose entries lapsed
+    /// while it was away register again.
+    duration return_time = std::chrono::milliseconds(2200);
+    /// Time for which a runner that could not be reached gets no new work.
+    duration first_avoidance = std::chrono::milliseconds(300);
+    duration longest_avoidance = std::chrono::seconds(3);
+};
+
+/// Knows which runners may get new work. An entry that is draining or removed
+/// gets none at once. Answers load patterns in which the store is away while
+/// runners serve on: entries that lapse then are kept until their owners had
+/// time to return.
+class runner_directory
+{
+public:
+    explicit runner_directory(runner_directory_settings initial = {});
+
+    /// Takes a changed entry. Older versions than known are ignored.
+    void on_entry(time_point now, const runner_entry& entry);
+
+    /// Takes the removal of an entry at a version.
+    void
+    on_removed(time_point now, const std::string& id, std::int64_t version);
+
+    /// Takes all entries as of a version; those that are missing are removed.
+    void on_snapshot(
+        time_point now,
+        const std::vector<runner_entry>& entries,
+        std::int64_t version);
+
+    /// Takes that the store stopped and began to answer.
+    void on_store_lost(time_point now);
+    void on_store_back(time_point now);
+
+    /// Takes that a runner refused because it is not the one named, or said
+    /// that it is leaving. It gets no new work until its entry changes.
+    void on_gone(const std::string& id);
+
+    /// Takes that a runner could not be reached, or answered.
+    void on_unreachable(time_point now, const std::string& id);
+    void on_reached(const std::string& id);
+
+    /// Forgets entries whose time to return is over.
+    void on_tick(time_point now);
+
+    /// Returns whether a runner may get new work.
+    bool is_usable(time_point now, const std::string& id) const;
+
+    /// Returns the runner's entry, or null.
+    const runner_entry* find(const std::string& id) const;
+
+    /// Returns the runners of a service that may get new work.
+    std::vector<const runner_entry*>
+    usable(time_point now, const std::string& service) const;
+
+    /// Grows with each change of what is usable by entry.
+    std::uint64_t version() const;
+
+private:
+    struct known_runner
+    {
+        runner_entry entry;
+        /// Set for an entry that was removed while the store was away.
+        std::optional<time_point> lapsed_until;
+        /// True after `on_gone`, until the entry changes.
+        bool gone = false;
+        time_point avoided_until;
+        duration avoidance = duration::zero();
+    };
+
+    bool may_have_lapsed(time_point now) const;
+    void remove(time_point now, const std::string& id);
+
+    runner_directory_settings settings;
+    std::map<std::string, known_runner> runners;
+    /// Versions of removals, so that an older entry does not come back.
+    std::map<std::string, std::int64_t> removed;
+    bool store_away = false;
+    time_point store_back_at;
+    bool was_away = false;
+    std::uint64_t changes = 0;
+};
+
+} // namespace chicory::serving
+
+#endif
--- /dev/null
+++ b/policy/serving/serving.hpp
@@ -0,0 +1,16 @@
+/// Public header of the serving policy: routes, runners, slots and jobs of the
+/// fleet that all nodes share. Decisions only.
+#ifndef CHICORY_POLICY_SERVING_SERVING_HPP
+#define CHICORY_POLICY_SERVING_SERVING_HPP
+
+#include "policy/serving/coordinator_choice.hpp"
+#include "policy/serving/event_splitter.hpp"
+#include "policy/serving/item_progress.hpp"
+#include "policy/serving/job_ownership.hpp"
+#include "policy/serving/job_record.hpp"
+#include "policy/serving/runner_directory.hpp"
+#include "policy/serving/serving_configuration.hpp"
+#include "policy/serving/slot_messages.hpp"
+#include "policy/serving/slot_scheduler.hpp"
+
+#endif
--- /dev/null
+++ b/policy/serving/serving_configuration.cpp
@@ -0,0 +1,65 @@
+#include "policy/serving/serving_configuration.hpp"
+
+namespace chicory::serving
+{
+
+const serving_route* find_route(
+    const serving_configuration& configuration,
+    std::string_view host,
+    std::string_view path)
+{
+    const serving_route* found = nullptr;
+    for (const serving_route& route : configuration.routes)
+    {
+        const bool matches =
+            route.host == host && path.starts_with(route.prefix);
+        if (matches &&
+            (found == nullptr || route.prefix.size() > found->prefix.size()))
+        {
+            found = &route;
+        }
+    }
+    return found;
+}
+
+const serving_route* find_route_by_name(
+    const serving_configuration& configuration, std::string_view name)
+{
+    for (const serving_route& route : configuration.routes)
+    {
+        if (route.name == name)
+        {
+            return &route;
+        }
+    }
+    return nullptr;
+}
+
+const std::string&
+choose_service(const serving_route& route, std::uint64_t draw)
+{
+    std::uint64_t total = 0;
+    for (const service_share& share : route.services)
+    {
+        total += static_cast<std::uint64_t>(share.weight);
+    }
+    std::uint64_t rest = total == 0 ? 0 : draw % total;
+    for (const service_share& share : route.services)
+    {
+        const std::uint64_t weight = static_cast<std::uint64_t>(share.weight);
+        if (rest < weight)
+        {
+            return share.service;
+        }
+        rest -= weight;
+    }
+    return route.services.front().service;
+}
+
+bool is_repeatable(const serving_route& route)
+{
+    return route.kind == route_kind::idempotent ||
+           (route.kind == route_kind::streaming && route.resumable);
+}
+
+} // namespace chicory::serving
--- /dev/null
+++ b/policy/serving/slot_messages.hpp
@@ -0,0 +1,121 @@
+#ifndef CHICORY_POLICY_SERVING_SLOT_MESSAGES_HPP
+#define CHICORY_POLICY_SERVING_SLOT_MESSAGES_HPP
+
+#include "core/core.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace chicory::serving
+{
+
+/// What a slot is wanted for.
+enum class work_kind : std::uint8_t
+{
+    online,
+    batch,
+};
+
+/// Names one use of a slot over the whole fleet.
+struct slot_id
+{
+    /// Node that asks and sends to the runner.
+    std::string node;
+    /// Start of that node's process.
+    std::uint64_t incarnation = 0;
+    std::uint64_t number = 0;
+
+    auto operator<=>(const slot_id&) const = default;
+};
+
+/// Asks for a slot of a service. Times are relative to the sending.
+struct slot_request
+{
+    slot_id id;
+    work_kind kind = work_kind::online;
+    std::string service;
+    /// Availability zone of the node that asks.
+    std::string zone;
+    /// Time until an answer begun later is late.
+    duration on_time_left = duration::zero();
+    /// Time until the caller gives up, or an item may be given up.
+    duration time_left = duration::zero();
+    /// Time that the work is expected to take; zero when unknown.
+    duration work_left = duration::zero();
+    /// Digest of the caller's request, by which one that comes back after a
+    /// refusal is known; zero for an item.
+    std::uint64_t request_digest = 0;
+    /// True where what was begun may be run again elsewhere.
+    bool repeatable = false;
+    /// Runners that the work has failed at.
+    std::vector<std::string> excluded;
+
+    bool operator==(const slot_request&) const = default;
+};
+
+/// A slot in use, as the node that uses it reports it.
+struct held_slot
+{
+    slot_id id;
+    work_kind kind = work_kind::online;
+    std::string service;
+    std::string runner;
+    /// Time since the work was sent.
+    duration age = duration::zero();
+
+    bool operator==(const held_slot&) const = default;
+};
+
+/// How the use of a slot ended.
+enum class slot_outcome : std::uint8_t
+{
+    completed,
+    /// The runner refused without running.
+    refused,
+    /// No connection to the runner could be made.
+    unreachable,
+    /// The connection broke, or the answer was no proper one.
+    broken,
+    /// The node ended the work: the caller left, or the item yielded.
+    cancelled,
+    /// The slot was not used.
+    unused,
+};
+
+inline constexpr enum_table<slot_outcome, 6> slot_outcome_names = {{
+    {slot_outcome::completed, "completed"},
+    {slot_outcome::refused, "refused"},
+    {slot_outcome::unreachable, "unreachable"},
+    {slot_outcome::broken, "broken"},
+    {slot_outcome::cancelled, "cancelled"},
+    {slot_outcome::unused, "unused"},
+}};
+
+/// What the coordinator decided on a request or a slot in use.
+enum class verdict_kind : std::uint8_t
+{
+    /// Use a slot of `runner`.
+    granted,
+    /// Refuse the caller, to come back after `retry_after`.
+    refused,
+    /// The work must leave its runner at once.
+    yield,
+    /// The request waits.
+    queued,
+};
+
+/// A decision of the coordinator for one node.
+struct slot_verdict
+{
+    slot_id id;
+    verdict_kind kind = verdict_kind::queued;
+    std::string runner;
+    duration retry_after = duration::zero();
+
+    bool operator==(const slot_verdict&) const = default;
+};
+
+} // namespace chicory::serving
+
+#endif
--- /dev/null
+++ b/policy/serving/slot_scheduler.cpp
@@ -0,0 +1,567 @@
+#include "policy/serving/slot_scheduler.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace chicory::serving
+{
+
+namespace
+{
+
+/// Weight of a new run in the mean length of runs.
+constexpr double mean_weight = 0.05;
+
+void update_mean(double& mean, double value)
+{
+    mean = mean == 0.0 ? value : mean + mean_weight * (value - mean);
+}
+
+} // namespace
+
+slot_scheduler::slot_scheduler(slot_scheduler_settings initial)
+    : settings(initial),
+      mean_online_us(static_cast<double>(initial.first_online_run.count()))
+{
+}
+
+std::vector<slot_verdict> slot_scheduler::set_runners(
+    time_point now, const std::vector<slot_runner>& usable)
+{
+    for (auto& [id, use] : this->runners)
+    {
+        use.usable = false;
+    }
+    for (const slot_runner& runner : usable)
+    {
+        runner_use& use = this->runners[runner.id];
+        use.runner = runner;
+        use.usable = true;
+    }
+    std::erase_if(
+        this->runners,
+        [](const auto& item)
+        {
+            return !item.second.usable && item.second.used == 0;
+        });
+    verdicts out;
+    this->dispatch(out, now);
+    return out;
+}
+
+void slot_scheduler::hear(
+    time_point now, const std::string& node, std::uint64_t incarnation)
+{
+    node_contact& contact = this->nodes[node];
+    if (contact.incarnation < incarnation)
+    {
+        this->drop_node(node, incarnation);
+        contact.incarnation = incarnation;
+    }
+    contact.heard = now;
+}
+
+void slot_scheduler::drop_node(const std::string& node, std::uint64_t before)
+{
+    std::vector<slot_id> lost;
+    for (const auto& [id, run] : this->running)
+    {
+        if (id.node == node && id.incarnation < before)
+        {
+            lost.push_back(id);
+        }
+    }
+    for (const slot_id& id : lost)
+    {
+        this->remove_running(id);
+    }
+    std::erase_if(
+        this->queue,
+        [&node, before](const auto& item)
+        {
+            return item.first.node == node && item.first.incarnation < before;
+        });
+}
+
+void slot_scheduler::add_running(
+    const slot_id& id,
+    work_kind kind,
+    const std::string& runner,
+    time_point since)
+{
+    this->remove_running(id);
+    this->running[id] = {kind, runner, since, false};
+    runner_use& use = this->runners[runner];
+    if (use.runner.id.empty())
+    {
+        use.runner.id = runner;
+        use.usable = false;
+    }
+    ++use.used;
+}
+
+void slot_scheduler::remove_running(const slot_id& id)
+{
+    const auto found = this->running.find(id);
+    if (found == this->running.end())
+    {
+        return;
+    }
+    const auto use = this->runners.find(found->second.runner);
+    if (use != this->runners.end() && !found->second.yielding)
+    {
+        --use->second.used;
+    }
+    this->running.erase(found);
+}
+
+void slot_scheduler::add_waiting(time_point now, const slot_request& request)
+{
+    waiting_request added;
+    added.request = request;
+    added.arrived = now;
+    added.on_time_until = now + request.on_time_left;
+    added.gives_up_at = now + request.time_left;
+    added.returned = request.request_digest != 0 &&
+                     this->refused.contains(request.request_digest);
+    this->queue[request.id] = std::move(added);
+}
+
+std::vector<slot_verdict>
+slot_scheduler::on_request(time_point now, const slot_request& request)
+{
+    verdicts out;
+    this->hear(now, request.id.node, request.id.incarnation);
+    if (const auto run = this->running.find(request.id);
+        run != this->running.end())
+    {
+        out.push_back(
+            {request.id,
+             verdict_kind::granted,
+             run->second.runner,
+             duration::zero()});
+        return out;
+    }
+    if (!this->queue.contains(request.id))
+    {
+        this->add_waiting(now, request);
+        this->dispatch(out, now);
+    }
+    if (this->queue.contains(request.id))
+    {
+        out.push_back({request.id, verdict_kind::queued, "", duration::zero()});
+    }
+    return out;
+}
+
+void slot_scheduler::learn(
+    time_point now, const running_slot& run, slot_outcome outcome)
+{
+    const auto found = this->runners.find(run.runner);
+    if (found == this->runners.end())
+    {
+        return;
+    }
+    runner_use& use = found->second;
+    const bool failed = outcome == slot_outcome::unreachable ||
+                        outcome == slot_outcome::broken ||
+                        outcome == slot_outcome::refused;
+    if (failed)
+    {
+        use.suspect = outcome != slot_outcome::refused;
+        use.paused_until = now + this->settings.failure_pause;
+    }
+    if (outcome != slot_outcome::completed)
+    {
+        return;
+    }
+    use.suspect = false;
+    if (run.kind == work_kind::online)
+    {
+        const double length = static_cast<double>((now - run.since).count());
+        update_mean(use.mean_run_us, length);
+        update_mean(this->mean_online_us, length);
+    }
+}
+
+std::vector<slot_verdict> slot_scheduler::on_release(
+    time_point now, const slot_id& id, slot_outcome outcome)
+{
+    verdicts out;
+    this->hear(now, id.node, id.incarnation);
+    if (const auto run = this->running.find(id); run != this->running.end())
+    {
+        this->learn(now, run->second, outcome);
+        this->remove_running(id);
+    }
+    this->queue.erase(id);
+    this->dispatch(out, now);
+    return out;
+}
+
+std::vector<slot_verdict> slot_scheduler::on_report(
+    time_point now,
+    const std::string& node,
+    std::uint64_t incarnation,
+    const std::vector<held_slot>& held,
+    const std::vector<slot_request>& waiting)
+{
+    verdicts out;
+    this->hear(now, node, incarnation);
+    std::set<slot_id> named;
+    for (const held_slot& slot : held)
+    {
+        named.insert(slot.id);
+        if (!this->running.contains(slot.id))
+        {
+            this->queue.erase(slot.id);
+            this->add_running(slot.id, slot.kind, slot.runner, now - slot.age);
+        }
+        else if (this->running[slot.id].yielding)
+        {
+            // The word to leave may have been lost.
+            out.push_back(
+                {slot.id, verdict_kind::yield, slot.runner, duration::zero()});
+        }
+    }
+    for (const slot_request& request : waiting)
+    {
+        named.insert(request.id);
+        const auto run = this->running.find(request.id);
+        if (run != this->running.end())
+        {
+            out.push_back(
+                {request.id,
+                 verdict_kind::granted,
+                 run->second.runner,
+                 duration::zero()});
+        }
+        else if (!this->queue.contains(request.id))
+        {
+            this->add_waiting(now, request);
+        }
+    }
+    std::vector<slot_id> ended;
+    for (const auto& [id, run] : this->running)
+    {
+        if (id.node == node && !named.contains(id) &&
+            now - run.since > this->settings.report_slack)
+        {
+            ended.push_back(id);
+        }
+    }
+    for (const slot_id& id : ended)
+    {
+        this->remove_running(id);
+    }
+    std::erase_if(
+        this->queue,
+        [&](const auto& item)
+        {
+            return item.first.node == node && !named.contains(item.first) &&
+                   now - item.second.arrived > this->settings.report_slack;
+        });
+    this->dispatch(out, now);
+    return out;
+}
+
+bool slot_scheduler::may_use(
+    time_point now, const runner_use& use, const slot_request& request) const
+{
+    if (!use.usable || now < use.paused_until)
+    {
+        return false;
+    }
+    if (use.suspect && (!request.repeatable || use.used > 0))
+    {
+        return false;
+    }
+    return std::find(
+               request.excluded.begin(),
+               request.excluded.end(),
+               use.runner.id) == request.excluded.end();
+}
+
+slot_scheduler::runner_use*
+slot_scheduler::choose_free(time_point now, const slot_request& request)
+{
+    runner_use* best = nullptr;
+    // The own zone goes first, then the runner with the most idle slots.
+    std::tuple<bool, std::int64_t> best_rank;
+    for (auto& [id, use] : this->runners)
+    {
+        const std::int64_t idle = use.runner.slots - use.used;
+        if (idle <= 0 || !this->may_use(now, use, request))
+        {
+            continue;
+        }
+        const std::tuple<bool, std::int64_t> rank(
+            use.runner.zone == request.zone, idle);
+        if (best == nullptr || rank > best_rank)
+        {
+            best = &use;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+std::optional<slot_id>
+slot_scheduler::choose_yield(time_point now, const slot_request& request) const
+{
+    std::optional<slot_id> best;
+    std::tuple<bool, time_point> best_rank;
+    for (const auto& [id, run] : this->running)
+    {
+        if (run.kind != work_kind::batch || run.yielding)
+        {
+            continue;
+        }
+        const auto use = this->runners.find(run.runner);
+        if (use == this->runners.end() ||
+            use->second.used > use->second.runner.slots ||
+            !this->may_use(now, use->second, request))
+        {
+            continue;
+        }
+        const std::tuple<bool, time_point> rank(
+            use->second.runner.zone == request.zone, run.since);
+        if (!best || rank > best_rank)
+        {
+            best = id;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+void slot_scheduler::grant(
+    verdicts& out, time_point now, const slot_id& id, runner_use& use)
+{
+    const auto found = this->queue.find(id);
+    const work_kind kind = found->second.request.kind;
+    if (found->second.request.request_digest != 0)
+    {
+        this->refused.erase(found->second.request.request_digest);
+    }
+    this->queue.erase(found);
+    this->add_running(id, kind, use.runner.id, now);
+    out.push_back({id, verdict_kind::granted, use.runner.id, duration::zero()});
+}
+
+std::vector<slot_id> slot_scheduler::order_online(time_point now) const
+{
+    std::vector<std::tuple<int, time_point, slot_id>> order;
+    for (const auto& [id, waiting] : this->queue)
+    {
+        if (waiting.request.kind != work_kind::online)
+        {
+            continue;
+        }
+        const bool late =
+            waiting.on_time_until < now + this->settings.first_piece;
+        const int rank = waiting.returned ? 0 : (late ? 2 : 1);
+        order.emplace_back(rank, waiting.arrived, id);
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<slot_id> ids;
+    ids.reserve(order.size());
+    for (auto& [rank, arrived, id] : order)
+    {
+        ids.push_back(std::move(id));
+    }
+    return ids;
+}
+
+std::vector<slot_id> slot_scheduler::order_batch(time_point now) const
+{
+    std::vector<std::tuple<bool, time_point, slot_id>> order;
+    for (const auto& [id, waiting] : this->queue)
+    {
+        if (waiting.request.kind == work_kind::batch)
+        {
+            const bool late =
+                now + waiting.request.work_left > waiting.on_time_until;
+            order.emplace_back(late, waiting.on_time_until, id);
+        }
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<slot_id> ids;
+    ids.reserve(order.size());
+    for (auto& [late, due, id] : order)
+    {
+        ids.push_back(std::move(id));
+    }
+    return ids;
+}
+
+void slot_scheduler::dispatch_online(verdicts& out, time_point now)
+{
+    for (const slot_id& id : this->order_online(now))
+    {
+        const slot_request request = this->queue.at(id).request;
+        runner_use* free = this->choose_free(now, request);
+        if (free == nullptr)
+        {
+            const std::optional<slot_id> leaving =
+                this->choose_yield(now, request);
+            if (!leaving)
+            {
+                continue;
+            }
+            running_slot& run = this->running.at(*leaving);
+            free = &this->runners.at(run.runner);
+            run.yielding = true;
+            --free->used;
+            out.push_back(
+                {*leaving, verdict_kind::yield, run.runner, duration::zero()});
+        }
+        this->grant(out, now, id, *free);
+    }
+}
+
+void slot_scheduler::dispatch_batch(verdicts& out, time_point now)
+{
+    for (const slot_id& id : this->order_batch(now))
+    {
+        runner_use* free = this->choose_free(now, this->queue.at(id).request);
+        if (free != nullptr)
+        {
+            this->grant(out, now, id, *free);
+        }
+    }
+}
+
+void slot_scheduler::dispatch(verdicts& out, time_point now)
+{
+    this->dispatch_online(out, now);
+    this->refuse_late(out, now);
+    this->dispatch_batch(out, now);
+}
+
+duration
+slot_scheduler::expected_wait(time_point now, std::size_t position) const
+{
+    std::vector<time_point> ends;
+    for (const auto& [id, run] : this->running)
+    {
+        if (run.kind == work_kind::online)
+        {
+            const time_point end =
+                run.since +
+                duration(static_cast<std::int64_t>(this->mean_online_us));
+            ends.push_back(std::max(end, now));
+        }
+    }
+    if (ends.empty())
+    {
+        return duration(static_cast<std::int64_t>(this->mean_online_us));
+    }
+    std::sort(ends.begin(), ends.end());
+    const std::size_t rounds = position / ends.size();
+    const duration whole_rounds(static_cast<std::int64_t>(
+        this->mean_online_us * static_cast<double>(rounds)));
+    return ends[position % ends.size()] - now + whole_rounds;
+}
+
+duration
+slot_scheduler::choose_return(time_point now, const waiting_request& refusal)
+{
+    const std::int64_t slots = std::max<std::int64_t>(1, this->total_slots());
+    const duration step(static_cast<std::int64_t>(
+        this->mean_online_us / static_cast<double>(slots)));
+    const time_point earliest =
+        now + this->expected_wait(now, this->waiting(work_kind::online));
+    this->next_return = std::max(this->next_return + step, earliest);
+    const duration left = refusal.gives_up_at - now;
+    const duration honoured = std::chrono::duration_cast<duration>(
+        left * this->settings.honoured_share);
+    return std::min(this->next_return - now, honoured);
+}
+
+void slot_scheduler::refuse_late(verdicts& out, time_point now)
+{
+    std::size_t position = 0;
+    for (const slot_id& id : this->order_online(now))
+    {
+        const waiting_request& waiting = this->queue.at(id);
+        const time_point begins = now + this->expected_wait(now, position) +
+                                  this->settings.first_piece;
+        const time_point limit =
+            waiting.returned ? waiting.gives_up_at : waiting.on_time_until;
+        if (begins <= limit)
+        {
+            ++position;
+            continue;
+        }
+        const duration back = this->choose_return(now, waiting);
+        if (waiting.request.request_digest != 0)
+        {
+            this->refused[waiting.request.request_digest] =
+                now + this->settings.return_memory;
+        }
+        this->queue.erase(id);
+        out.push_back({id, verdict_kind::refused, "", back});
+    }
+}
+
+std::vector<slot_verdict> slot_scheduler::on_tick(time_point now)
+{
+    verdicts out;
+    std::vector<std::string> silent;
+    for (const auto& [node, contact] : this->nodes)
+    {
+        if (now - contact.heard > this->settings.node_silence)
+        {
+            silent.push_back(node);
+        }
+    }
+    for (const std::string& node : silent)
+    {
+        this->drop_node(node, this->nodes.at(node).incarnation + 1);
+        this->nodes.erase(node);
+    }
+    std::erase_if(
+        this->refused,
+        [now](const auto& item)
+        {
+            return item.second < now;
+        });
+    this->dispatch(out, now);
+    return out;
+}
+
+std::size_t slot_scheduler::slots_in_use(work_kind kind) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        this->running.begin(),
+        this->running.end(),
+        [kind](const auto& item)
+        {
+            return item.second.kind == kind && !item.second.yielding;
+        }));
+}
+
+std::size_t slot_scheduler::waiting(work_kind kind) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        this->queue.begin(),
+        this->queue.end(),
+        [kind](const auto& item)
+        {
+            return item.second.request.kind == kind;
+        }));
+}
+
+std::int64_t slot_scheduler::total_slots() const
+{
+    std::int64_t total = 0;
+    for (const auto& [id, use] : this->runners)
+    {
+        total += use.usable ? use.runner.slots : 0;
+    }
+    return total;
+}
+
+} // namespace chicory::serving
--- /dev/null
+++ b/policy/serving/slot_scheduler.hpp
@@ -0,0 +1,174 @@
+#ifndef CHICORY_POLICY_SERVING_SLOT_SCHEDULER_HPP
+#define CHICORY_POLICY_SERVING_SLOT_SCHEDULER_HPP
+
+#include "policy/serving/slot_messages.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chicory::serving
+{
+
+/// Times by which the scheduler judges.
+struct slot_scheduler_settings
+{
+    /// Expected length of an online run before any has ended.
+    duration first_online_run = std::chrono::milliseconds(750);
+    /// Time from sending a request to a free slot until its first piece.
+    duration first_piece = std::chrono::milliseconds(60);
+    /// A node that said nothing for so long has lost its slots.
+    duration node_silence = std::chrono::milliseconds(1500);
+    /// A slot that its node does not report is free after this time, in
+    /// which the grant may still have been on its way.
+    duration report_slack = std::chrono::milliseconds(150);
+    /// Time that a refused request is remembered.
+    duration return_memory = std::chrono::seconds(10);
+    /// Share of the time left that callers honour in `Retry-After`.
+    double honoured_share = 1.0 / 3.0;
+    /// A runner that failed gets one run at a time until one is completed,
+    /// and none for this time.
+    duration failure_pause = std::chrono::milliseconds(400);
+};
+
+/// A runner with the slots that may be used.
+struct slot_runner
+{
+    std::string id;
+    std::string zone;
+    std::int64_t slots = 0;
+
+    bool operator==(const slot_runner&) const = default;
+};
+
+/// Gives the slots of one service's runners to online requests and batch
+/// items of all nodes, so that a runner never has more than it can work on at
+/// once. It answers these load patterns:
+///
+/// - Bursts of online requests over a fleet that batch fills: the youngest
+///   batch run near the caller is told to leave, and the request is sent
+///   without waiting for that.
+/// - Bursts beyond all slots: a request waits while it can still be on time;
+///   else it is refused at once, to come back when slots are expected to be
+///   free. Times to come back are spread at the rate at which slots come
+///   free. Those who came back go first and are not refused again.
+/// - More batch work than fits: the earliest due first among items that can
+///   still be in time, then the others.
+///
+/// No promise rests on its counts: when two schedulers give slots of the same
+/// runner, requests wait at the runner for a moment.
+class slot_scheduler
+{
+public:
+    explicit slot_scheduler(slot_scheduler_settings initial = {});
+
+    /// Sets the runners that may get new work.
+    std::vector<slot_verdict>
+    set_runners(time_point now, const std::vector<slot_runner>& usable);
+
+    /// Takes a request. One that is known already is answered again.
+    std::vector<slot_verdict>
+    on_request(time_point now, const slot_request& request);
+
+    /// Takes that a request or a slot is needed no more.
+    std::vector<slot_verdict>
+    on_release(time_point now, const slot_id& id, slot_outcome outcome);
+
+    /// Takes all slots that a node uses and all requests of it that wait.
+    std::vector<slot_verdict> on_report(
+        time_point now,
+        const std::string& node,
+        std::uint64_t incarnation,
+        const std::vector<held_slot>& held,
+        const std::vector<slot_request>& waiting);
+
+    /// Frees the slots of silent nodes and refuses what cannot be served.
+    std::vector<slot_verdict> on_tick(time_point now);
+
+    std::size_t slots_in_use(work_kind kind) const;
+    std::size_t waiting(work_kind kind) const;
+    std::int64_t total_slots() const;
+
+private:
+    struct running_slot
+    {
+        work_kind kind = work_kind::online;
+        std::string runner;
+        time_point since;
+        /// Set when the run was told to leave; it counts no longer.
+        bool yielding = false;
+    };
+    struct waiting_request
+    {
+        slot_request request;
+        time_point arrived;
+        time_point on_time_until;
+        time_point gives_up_at;
+        bool returned = false;
+    };
+    struct runner_use
+    {
+        slot_runner runner;
+        bool usable = true;
+        std::int64_t used = 0;
+        /// Set after a failure until a run is completed.
+        bool suspect = false;
+        time_point paused_until;
+        /// Mean length of completed online runs.
+        double mean_run_us = 0.0;
+    };
+    struct node_contact
+    {
+        std::uint64_t incarnation = 0;
+        time_point heard;
+    };
+    using verdicts = std::vector<slot_verdict>;
+
+    void
+    hear(time_point now, const std::string& node, std::uint64_t incarnation);
+    void drop_node(const std::string& node, std::uint64_t before);
+    void add_running(
+        const slot_id& id,
+        work_kind kind,
+        const std::string& runner,
+        time_point since);
+    void remove_running(const slot_id& id);
+    void add_waiting(time_point now, const slot_request& request);
+    void learn(time_point now, const running_slot& run, slot_outcome outcome);
+    bool may_use(
+        time_point now,
+        const runner_use& use,
+        const slot_request& request) const;
+    runner_use* choose_free(time_point now, const slot_request& request);
+    std::optional<slot_id>
+    choose_yield(time_point now, const slot_request& request) const;
+    void
+    grant(verdicts& out, time_point now, const slot_id& id, runner_use& use);
+    void dispatch_online(verdicts& out, time_point now);
+    void dispatch_batch(verdicts& out, time_point now);
+    void dispatch(verdicts& out, time_point now);
+    void refuse_late(verdicts& out, time_point now);
+    duration expected_wait(time_point now, std::size_t position) const;
+    duration choose_return(time_point now, const waiting_request& refused);
+    std::vector<slot_id> order_online(time_point now) const;
+    std::vector<slot_id> order_batch(time_point now) const;
+
+    slot_scheduler_settings settings;
+    std::map<std::string, runner_use> runners;
+    std::map<slot_id, running_slot> running;
+    std::map<slot_id, waiting_request> queue;
+    std::map<std::string, node_contact> nodes;
+    /// Refused requests by digest, and until when they are remembered.
+    std::map<std::uint64_t, time_point> refused;
+    double mean_online_us = 0.0;
+    /// When the next refused request is to come back.
+    time_point next_return;
+};
+
+} // namespace chicory::serving
+
+#endif
--- a/servers/control/configuration_watch.cpp
+++ b/servers/control/configuration_watch.cpp
@@ -48,7 +48,7 @@
 configuration_watch::configuration_watch(
     asio::io_context& io,
     net::http_client& http,
-    platform::table_service& service,
+    ports::table_service& service,
     watch_hooks wanted,
     std::uint64_t seed)
     : context(io), client(http), table(service), hooks(std::move(wanted)),
@@ -223,14 +223,14 @@
     }
     const std::string prefix(configuration::history_prefix);
     const std::string after = configuration::history_key(current);
-    result<std::vector<platform::row>> rows =
+    result<std::vector<ports::row>> rows =
         co_await this->table.scan(prefix, after, changes_per_read);
     if (!rows)
     {
         co_return rows.error();
     }
     std::vector<configuration::history_entry> changes;
-    for (const platform::row& found : rows.value())
+    for (const ports::row& found : rows.value())
     {
         BOOST_OUTCOME_CO_TRY(
             configuration::history_entry entry,
--- a/servers/control/configuration_watch.hpp
+++ b/servers/control/configuration_watch.hpp
@@ -2,8 +2,8 @@
 #define CHICORY_SERVERS_CONTROL_CONFIGURATION_WATCH_HPP
 
 #include "core/core.hpp"
+#include "drivers/drivers.hpp"
 #include "net/net.hpp"
-#include "platform/platform.hpp"
 #include "policy/configuration/configuration.hpp"
 #include "policy/membership/membership.hpp"
 #include "servers/control/peer_configuration.hpp"
@@ -39,7 +39,7 @@
     configuration_watch(
         boost::asio::io_context& io,
         net::http_client& http,
-        platform::table_service& service,
+        ports::table_service& service,
         watch_hooks wanted,
         std::uint64_t seed);
 
@@ -69,7 +69,7 @@
 
     boost::asio::io_context& context;
     net::http_client& client;
-    platform::table_service& table;
+    ports::table_service& table;
     watch_hooks hooks;
     configuration::adoption adopted;
     configuration::poll_share share;
--- a/servers/control/control.hpp
+++ b/servers/control/control.hpp
@@ -5,9 +5,9 @@
 
 #include "servers/control/configuration_watch.hpp"
 #include "servers/control/control_process.hpp"
-#include "servers/control/gossip_service.hpp"
 #include "servers/control/orders_service.hpp"
 #include "servers/control/peer_configuration.hpp"
 #include "servers/control/vm_watch.hpp"
+#include "servers/fleet/fleet.hpp"
 
 #endif
--- a/servers/control/control_process.cpp
+++ b/servers/control/control_process.cpp
@@ -52,9 +52,8 @@
 
 control_process::control_process(asio::io_context& io, vm_settings source)
     : context(io), settings(std::move(source)), client(io.get_executor()),
-      table(
-          platform::make_table_service(this->client, this->settings.platform)),
-      list(platform::make_vm_list(this->client, this->settings.platform)),
+      table(drivers::make_table_service(this->client, this->settings.platform)),
+      list(drivers::make_vm_list(this->client, this->settings.platform)),
       backend(backend::make_http_backend(this->client)),
       members(
           io,
--- a/servers/control/control_process.hpp
+++ b/servers/control/control_process.hpp
@@ -3,13 +3,13 @@
 
 #include "backend/backend.hpp"
 #include "core/core.hpp"
+#include "drivers/drivers.hpp"
 #include "net/net.hpp"
-#include "platform/platform.hpp"
 #include "policy/membership/membership.hpp"
 #include "servers/control/configuration_watch.hpp"
-#include "servers/control/gossip_service.hpp"
 #include "servers/control/orders_service.hpp"
 #include "servers/control/vm_watch.hpp"
+#include "servers/fleet/fleet.hpp"
 #include "servers/lifecycle/lifecycle.hpp"
 #include "servers/settings/settings.hpp"
 #include "wire/wire.hpp"
@@ -58,10 +58,10 @@
     vm_settings settings;
     metrics numbers;
     net::http_client client;
-    std::unique_ptr<platform::table_service> table;
-    std::unique_ptr<platform::vm_list> list;
+    std::unique_ptr<ports::table_service> table;
+    std::unique_ptr<ports::vm_list> list;
     std::unique_ptr<backend::backend_server> backend;
-    gossip_service members;
+    fleet::gossip_service members;
     configuration_watch configuration;
     vm_watch vms;
     orders_service orders;
--- a/servers/control/orders_service.cpp
+++ b/servers/control/orders_service.cpp
@@ -125,7 +125,7 @@
 
 orders_service::orders_service(
     asio::io_context& io,
-    platform::table_service& service,
+    ports::table_service& service,
     backend::backend_server& engines,
     members_hook hook,
     std::string self)
@@ -241,7 +241,7 @@
 
 asio::awaitable<void> orders_service::read_lease(pool_handle pool)
 {
-    const result<std::optional<platform::row>> found =
+    const result<std::optional<ports::row>> found =
         co_await this->table.read(pool->key);
     if (!found)
     {
@@ -251,7 +251,7 @@
     std::optional<orders::lease_row> lease;
     if (found.value())
     {
-        const platform::row& row = *found.value();
+        const ports::row& row = *found.value();
         lease = orders::lease_row{decode_holder(row.value), row.version};
     }
     pool->issuer.lease().on_row(read_monotonic_clock(), lease);
@@ -260,11 +260,11 @@
 asio::awaitable<void>
 orders_service::write_lease(pool_handle pool, std::int64_t expected)
 {
-    platform::transaction request;
+    ports::transaction request;
     request.conditions.push_back({pool->key, expected});
     request.writes.push_back({pool->key, encode_holder(this->holder)});
     const time_point sent = read_monotonic_clock();
-    const result<platform::transaction_outcome> outcome =
+    const result<ports::transaction_outcome> outcome =
         co_await this->table.transact(std::move(request));
     orders::order_lease& lease = pool->issuer.lease();
     if (!outcome)
--- a/servers/control/orders_service.hpp
+++ b/servers/control/orders_service.hpp
@@ -3,7 +3,7 @@
 
 #include "backend/backend.hpp"
 #include "core/core.hpp"
-#include "platform/platform.hpp"
+#include "drivers/drivers.hpp"
 #include "policy/configuration/configuration.hpp"
 #include "policy/membership/membership.hpp"
 #include "policy/orders/orders.hpp"
@@ -32,7 +32,7 @@
     /// The table service and the backend must outlive the service.
     orders_service(
         boost::asio::io_context& io,
-        platform::table_service& service,
+        ports::table_service& service,
         backend::backend_server& engines,
         members_hook hook,
         std::string self);
@@ -71,7 +71,7 @@
     void note_confirmed(const pool_handle& pool) const;
 
     boost::asio::io_context& context;
-    platform::table_service& table;
+    ports::table_service& table;
     backend::backend_server& backend;
     members_hook members;
     std::string holder;
--- a/servers/control/vm_watch.cpp
+++ b/servers/control/vm_watch.cpp
@@ -33,7 +33,7 @@
 
 } // namespace
 
-membership::vm to_vm(const platform::listed_vm& listed)
+membership::vm to_vm(const ports::listed_vm& listed)
 {
     membership::vm vm;
     vm.id = listed.id;
@@ -55,8 +55,8 @@
 
 vm_watch::vm_watch(
     asio::io_context& io,
-    platform::vm_list& source,
-    gossip_service& spread,
+    ports::vm_list& source,
+    fleet::gossip_service& spread,
     std::uint64_t seed)
     : context(io), list(source), members(spread),
       share(make_share_settings(), seed)
@@ -84,7 +84,7 @@
     asio::steady_timer timer(this->context);
     while (true)
     {
-        const result<std::vector<platform::listed_vm>> lines =
+        const result<std::vector<ports::listed_vm>> lines =
             co_await this->list.read();
         this->read_again = !lines.has_value();
         if (lines)
@@ -107,10 +107,10 @@
     }
 }
 
-void vm_watch::take(const std::vector<platform::listed_vm>& lines)
+void vm_watch::take(const std::vector<ports::listed_vm>& lines)
 {
     std::vector<membership::vm> listed;
-    for (const platform::listed_vm& line : lines)
+    for (const ports::listed_vm& line : lines)
     {
         const membership::vm vm = to_vm(line);
         if (vm.id == this->members.state().self())
--- a/servers/control/vm_watch.hpp
+++ b/servers/control/vm_watch.hpp
@@ -2,10 +2,10 @@
 #define CHICORY_SERVERS_CONTROL_VM_WATCH_HPP
 
 #include "core/core.hpp"
-#include "platform/platform.hpp"
+#include "drivers/drivers.hpp"
 #include "policy/configuration/configuration.hpp"
 #include "policy/membership/membership.hpp"
-#include "servers/control/gossip_service.hpp"
+#include "servers/fleet/fleet.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -16,7 +16,7 @@
 {
 
 /// Returns a line of the VM list in the form of the membership library.
-membership::vm to_vm(const platform::listed_vm& listed);
+membership::vm to_vm(const ports::listed_vm& listed);
 
 /// Reads the VM list at this node's share of the fleet's rate and turns what
 /// it says into rumors, which gossip spreads to all.
@@ -26,8 +26,8 @@
     /// The list and the gossip must outlive the watch.
     vm_watch(
         boost::asio::io_context& io,
-        platform::vm_list& source,
-        gossip_service& spread,
+        ports::vm_list& source,
+        fleet::gossip_service& spread,
         std::uint64_t seed);
 
     void start();
@@ -37,11 +37,11 @@
 
 private:
     boost::asio::awaitable<void> watch();
-    void take(const std::vector<platform::listed_vm>& lines);
+    void take(const std::vector<ports::listed_vm>& lines);
 
     boost::asio::io_context& context;
-    platform::vm_list& list;
-    gossip_service& members;
+    ports::vm_list& list;
+    fleet::gossip_service& members;
     membership::vm_tracker tracker;
     configuration::poll_share share;
     bool read_again = true;
--- a/servers/control/gossip_service.cpp
+++ b/servers/fleet/gossip_service.cpp
@@ -1,4 +1,4 @@
-#include "servers/control/gossip_service.hpp"
+#include "servers/fleet/gossip_service.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
@@ -11,7 +11,7 @@
 #include <array>
 #include <utility>
 
-namespace chicory::control
+namespace chicory::fleet
 {
 
 namespace asio = boost::asio;
@@ -214,4 +214,4 @@
     return this->members;
 }
 
-} // namespace chicory::control
+} // namespace chicory::fleet
--- a/servers/control/gossip_service.hpp
+++ b/servers/fleet/gossip_service.hpp
@@ -1,5 +1,5 @@
-#ifndef CHICORY_SERVERS_CONTROL_GOSSIP_SERVICE_HPP
-#define CHICORY_SERVERS_CONTROL_GOSSIP_SERVICE_HPP
+#ifndef CHICORY_SERVERS_FLEET_GOSSIP_SERVICE_HPP
+#define CHICORY_SERVERS_FLEET_GOSSIP_SERVICE_HPP
 
 #include "core/core.hpp"
 #include "net/net.hpp"
@@ -14,7 +14,7 @@
 #include <string>
 #include <vector>
 
-namespace chicory::control
+namespace chicory::fleet
 {
 
 /// Runs the membership protocol over UDP.
@@ -65,6 +65,6 @@
     std::map<std::string, membership::vm_state> logged;
 };
 
-} // namespace chicory::control
+} // namespace chicory::fleet
 
 #endif
--- /dev/null
+++ b/tests/policy/serving/runner_directory_test.cpp
@@ -0,0 +1,123 @@
+#include "policy/serving/serving.hpp"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+namespace chicory::serving
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const time_point start = time_point() + 1h;
+
+runner_entry make_entry(const std::string& id, std::int64_t version)
+{
+    runner_entry entry;
+    entry.id = id;
+    entry.service = "chat";
+    entry.address = "10.0.0.1";
+    entry.port = 80;
+    entry.zone = "z1";
+    entry.slots = 8;
+    entry.born_ms = 5;
+    entry.version = version;
+    return entry;
+}
+
+TEST(runner_directory_test, a_draining_runner_gets_no_new_work)
+{
+    runner_directory directory;
+    directory.on_entry(start, make_entry("r", 1));
+    EXPECT_TRUE(directory.is_usable(start, "r"));
+    runner_entry draining = make_entry("r", 2);
+    draining.state = runner_state::draining;
+    directory.on_entry(start, draining);
+    EXPECT_FALSE(directory.is_usable(start, "r"));
+}
+
+TEST(runner_directory_test, an_older_entry_does_not_revive_a_runner)
+{
+    runner_directory directory;
+    directory.on_entry(start, make_entry("r", 5));
+    directory.on_removed(start, "r", 7);
+    directory.on_entry(start, make_entry("r", 6));
+    EXPECT_EQ(directory.find("r"), nullptr);
+    directory.on_entry(start, make_entry("r", 8));
+    EXPECT_TRUE(directory.is_usable(start, "r"));
+}
+
+TEST(runner_directory_test, a_removal_in_calm_times_holds_at_once)
+{
+    runner_directory directory;
+    directory.on_entry(start, make_entry("r", 1));
+    directory.on_removed(start, "r", 2);
+    EXPECT_FALSE(directory.is_usable(start, "r"));
+}
+
+// Load pattern: the store is away, entries lapse, and runners serve on.
+TEST(runner_directory_test, a_lapsed_entry_is_kept_until_it_had_time_to_return)
+{
+    runner_directory directory;
+    directory.on_entry(start, make_entry("r", 1));
+    directory.on_store_lost(start + 1s);
+    directory.on_store_back(start + 6s);
+    directory.on_snapshot(start + 6s, {}, 9);
+    EXPECT_TRUE(directory.is_usable(start + 7s, "r"));
+    directory.on_tick(start + 9s);
+    EXPECT_EQ(directory.find("r"), nullptr);
+}
+
+TEST(runner_directory_test, a_lapsed_entry_that_returns_stays)
+{
+    runner_directory directory;
+    directory.on_entry(start, make_entry("r", 1));
+    directory.on_store_lost(start + 1s);
+    directory.on_store_back(start + 6s);
+    directory.on_snapshot(start + 6s, {}, 9);
+    directory.on_entry(start + 7s, make_entry("r", 10));
+    directory.on_tick(start + 20s);
+    EXPECT_TRUE(directory.is_usable(start + 20s, "r"));
+}
+
+TEST(runner_directory_test, a_draining_entry_that_is_removed_is_not_kept)
+{
+    runner_directory directory;
+    runner_entry draining = make_entry("r", 1);
+    draining.state = runner_state::draining;
+    directory.on_entry(start, draining);
+    directory.on_store_lost(start + 1s);
+    directory.on_store_back(start + 6s);
+    directory.on_snapshot(start + 6s, {}, 9);
+    EXPECT_EQ(directory.find("r"), nullptr);
+}
+
+TEST(runner_directory_test, an_unreachable_runner_is_avoided_ever_longer)
+{
+    runner_directory directory;
+    directory.on_entry(start, make_entry("r", 1));
+    directory.on_unreachable(start, "r");
+    EXPECT_FALSE(directory.is_usable(start + 200ms, "r"));
+    EXPECT_TRUE(directory.is_usable(start + 400ms, "r"));
+    directory.on_unreachable(start + 400ms, "r");
+    EXPECT_FALSE(directory.is_usable(start + 800ms, "r"));
+    directory.on_reached("r");
+    EXPECT_TRUE(directory.is_usable(start + 800ms, "r"));
+}
+
+TEST(runner_directory_test, a_runner_that_is_another_one_waits_for_its_entry)
+{
+    runner_directory directory;
+    directory.on_entry(start, make_entry("r", 1));
+    directory.on_gone("r");
+    EXPECT_FALSE(directory.is_usable(start, "r"));
+    directory.on_entry(start, make_entry("r", 2));
+    EXPECT_TRUE(directory.is_usable(start, "r"));
+}
+
+} // namespace
+
+} // namespace chicory::serving
--- /dev/null
+++ b/tests/policy/serving/serving_test.cpp
@@ -0,0 +1,186 @@
+#include "policy/serving/serving.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+namespace chicory::serving
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+serving_route make_route(const std::string& name, const std::string& prefix)
+{
+    serving_route route;
+    route.name = name;
+    route.host = "a.example";
+    route.prefix = prefix;
+    route.services = {{"chat", 1}};
+    return route;
+}
+
+TEST(serving_configuration_test, the_longest_prefix_of_the_host_is_chosen)
+{
+    serving_configuration configuration;
+    configuration.routes = {
+        make_route("short", "/x/"), make_route("long", "/x/y/")};
+    EXPECT_EQ(find_route(configuration, "a.example", "/x/y/1")->name, "long");
+    EXPECT_EQ(find_route(configuration, "a.example", "/x/yz")->name, "short");
+    EXPECT_EQ(find_route(configuration, "b.example", "/x/y/1"), nullptr);
+    EXPECT_EQ(find_route(configuration, "a.example", "/z/"), nullptr);
+}
+
+TEST(serving_configuration_test, services_are_chosen_by_weight)
+{
+    serving_route route = make_route("r", "/");
+    route.services = {{"a", 90}, {"b", 10}};
+    int chosen = 0;
+    for (std::uint64_t draw = 0; draw < 1000; ++draw)
+    {
+        chosen += choose_service(route, draw) == "a" ? 1 : 0;
+    }
+    EXPECT_EQ(chosen, 900);
+}
+
+TEST(serving_configuration_test, only_resumable_streams_may_be_repeated)
+{
+    serving_route route = make_route("r", "/");
+    route.kind = route_kind::streaming;
+    EXPECT_FALSE(is_repeatable(route));
+    route.resumable = true;
+    EXPECT_TRUE(is_repeatable(route));
+    route.kind = route_kind::non_idempotent;
+    EXPECT_FALSE(is_repeatable(route));
+}
+
+TEST(event_splitter_test, passes_only_whole_events)
+{
+    event_splitter splitter;
+    EXPECT_EQ(splitter.take("id: 1\nda"), "");
+    EXPECT_EQ(splitter.take("ta: a\n"), "");
+    EXPECT_EQ(splitter.take("\nid: 2\n"), "id: 1\ndata: a\n\n");
+    EXPECT_EQ(splitter.last_id(), "1");
+    EXPECT_EQ(splitter.unfinished_bytes(), 6U);
+    splitter.drop_unfinished();
+    EXPECT_EQ(splitter.take("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+    EXPECT_EQ(splitter.last_id(), "2");
+}
+
+TEST(item_progress_test, goes_on_behind_the_last_whole_event)
+{
+    item_progress progress;
+    progress.begin_run();
+    EXPECT_TRUE(progress.take("id: 1\ndata: a\n\nid: 2\nda"));
+    EXPECT_EQ(progress.last_event_id(), "1");
+    progress.begin_run();
+    EXPECT_TRUE(progress.take("id: 2\ndata: b\n\n"));
+    EXPECT_EQ(progress.text(), "a\nb");
+    EXPECT_TRUE(progress.is_whole());
+    EXPECT_EQ(progress.events(), 2);
+}
+
+TEST(item_progress_test, takes_nothing_behind_a_gap)
+{
+    item_progress progress;
+    progress.begin_run();
+    EXPECT_TRUE(progress.take("id: 1\ndata: a\n\n"));
+    EXPECT_FALSE(progress.take("id: 3\ndata: c\n\n"));
+    EXPECT_EQ(progress.text(), "a");
+    EXPECT_EQ(progress.last_event_id(), "1");
+}
+
+TEST(item_progress_test, an_event_that_comes_twice_ends_the_run)
+{
+    item_progress progress;
+    progress.begin_run();
+    EXPECT_TRUE(progress.take("id: 1\ndata: a\n\n"));
+    EXPECT_FALSE(progress.take("id: 1\ndata: a\n\n"));
+    EXPECT_EQ(progress.text(), "a");
+}
+
+TEST(item_progress_test, gives_up_only_after_the_last_attempt)
+{
+    EXPECT_EQ(judge_failures({2, 0}, 3), failure_verdict::run_again);
+    EXPECT_EQ(judge_failures({3, 0}, 3), failure_verdict::give_up);
+    EXPECT_EQ(judge_failures({0, 1}, 3), failure_verdict::give_up);
+}
+
+job_record make_job()
+{
+    job_record job;
+    job.id = "j1";
+    job.route = "kits";
+    job.owner = "vm-1";
+    job.owner_incarnation = 1791261950012;
+    job.accepted_ms = 1791261950013;
+    job.body_records = 2;
+    job.tokens = {100, 200, 300};
+    job.listed = {{2, item_state::completed, 1}, {0, item_state::errored, 0}};
+    job.failures[0] = {3, 0};
+    job.version = 9;
+    return job;
+}
+
+TEST(job_record_test, survives_the_store)
+{
+    const job_record job = make_job();
+    const result<job_record> read = decode_job("j1", encode_job(job), 9);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read.value(), job);
+}
+
+TEST(job_record_test, an_item_listed_twice_is_damage)
+{
+    job_record job = make_job();
+    job.listed.push_back({2, item_state::completed, 1});
+    EXPECT_FALSE(decode_job("j1", encode_job(job), 9));
+    job.listed.back().item = 3;
+    EXPECT_FALSE(decode_job("j1", encode_job(job), 9));
+    EXPECT_FALSE(decode_job("j1", "{}", 9));
+    EXPECT_FALSE(decode_job("j1", "no json", 9));
+}
+
+TEST(job_record_test, counts_the_tokens_that_wait)
+{
+    job_record job = make_job();
+    EXPECT_EQ(waiting_tokens(job), 200);
+    EXPECT_THAT(unlisted_items(job), ::testing::ElementsAre(1));
+    EXPECT_TRUE(is_open(job));
+    job.ended = true;
+    EXPECT_EQ(waiting_tokens(job), 0);
+    EXPECT_FALSE(is_open(job));
+}
+
+TEST(coordinator_choice_test, all_nodes_agree_and_few_services_move)
+{
+    const std::vector<std::string> nodes = {"a", "b", "c", "d"};
+    const std::vector<std::string> order = order_coordinators("chat", nodes);
+    const std::vector<std::string> shuffled = {"d", "b", "a", "c"};
+    EXPECT_EQ(order, order_coordinators("chat", shuffled));
+    std::vector<std::string> fewer = nodes;
+    std::erase(fewer, order.back());
+    EXPECT_EQ(order_coordinators("chat", fewer).front(), order.front());
+}
+
+TEST(coordinator_contact_test, a_silent_node_is_avoided_for_a_time)
+{
+    const time_point start = time_point() + 1h;
+    coordinator_contact contact;
+    contact.on_sent(start, "a");
+    EXPECT_TRUE(contact.awaits_answer("a"));
+    EXPECT_TRUE(contact.is_answering(start + 50ms, "a"));
+    EXPECT_FALSE(contact.is_answering(start + 100ms, "a"));
+    EXPECT_FALSE(contact.is_answering(start + 900ms, "a"));
+    EXPECT_TRUE(contact.is_answering(start + 1200ms, "a"));
+    contact.on_sent(start + 1200ms, "a");
+    contact.on_heard(start + 1210ms, "a");
+    EXPECT_TRUE(contact.is_answering(start + 2s, "a"));
+}
+
+} // namespace
+
+} // namespace chicory::serving
--- /dev/null
+++ b/tests/policy/serving/slot_scheduler_test.cpp
@@ -0,0 +1,306 @@
+#include "policy/serving/serving.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace chicory::serving
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const time_point start = time_point() + 1h;
+
+slot_request make_online(std::uint64_t number, const std::string& node = "a")
+{
+    slot_request request;
+    request.id = {node, 1, number};
+    request.kind = work_kind::online;
+    request.service = "chat";
+    request.zone = "z1";
+    request.on_time_left = 300ms;
+    request.time_left = 5s;
+    request.request_digest = 1000 + number;
+    return request;
+}
+
+slot_request make_item(std::uint64_t number, duration due = 18s)
+{
+    slot_request request = make_online(number, "b");
+    request.kind = work_kind::batch;
+    request.on_time_left = due;
+    request.time_left = 60s;
+    request.work_left = 5s;
+    request.request_digest = 0;
+    request.repeatable = true;
+    return request;
+}
+
+std::vector<slot_verdict>
+of_kind(const std::vector<slot_verdict>& all, verdict_kind kind)
+{
+    std::vector<slot_verdict> found;
+    std::copy_if(
+        all.begin(),
+        all.end(),
+        std::back_inserter(found),
+        [kind](const slot_verdict& verdict)
+        {
+            return verdict.kind == kind;
+        });
+    return found;
+}
+
+class slot_scheduler_test : public ::testing::Test
+{
+protected:
+    slot_scheduler scheduler;
+
+    void give_runners(int count, std::int64_t slots)
+    {
+        std::vector<slot_runner> runners;
+        for (int index = 0; index < count; ++index)
+        {
+            runners.push_back(
+                {"r" + std::to_string(index),
+                 index % 2 == 0 ? "z1" : "z2",
+                 slots});
+        }
+        this->scheduler.set_runners(start, runners);
+    }
+};
+
+TEST_F(slot_scheduler_test, never_gives_more_slots_than_a_runner_has)
+{
+    this->give_runners(2, 4);
+    std::map<std::string, int> granted;
+    for (std::uint64_t number = 1; number <= 20; ++number)
+    {
+        for (const slot_verdict& verdict : of_kind(
+                 this->scheduler.on_request(start, make_online(number)),
+                 verdict_kind::granted))
+        {
+            ++granted[verdict.runner];
+        }
+    }
+    EXPECT_EQ(granted["r0"], 4);
+    EXPECT_EQ(granted["r1"], 4);
+}
+
+TEST_F(slot_scheduler_test, prefers_runners_of_the_own_zone)
+{
+    this->give_runners(2, 4);
+    for (std::uint64_t number = 1; number <= 4; ++number)
+    {
+        const auto granted = of_kind(
+            this->scheduler.on_request(start, make_online(number)),
+            verdict_kind::granted);
+        ASSERT_EQ(granted.size(), 1U);
+        EXPECT_EQ(granted.front().runner, "r0");
+    }
+}
+
+// Load pattern: a burst of online requests over a fleet filled by batch.
+TEST_F(slot_scheduler_test, burst_takes_slots_from_the_youngest_items)
+{
+    this->give_runners(1, 4);
+    for (std::uint64_t number = 1; number <= 4; ++number)
+    {
+        this->scheduler.on_request(start + number * 100ms, make_item(number));
+    }
+    ASSERT_EQ(this->scheduler.slots_in_use(work_kind::batch), 4U);
+    const auto verdicts =
+        this->scheduler.on_request(start + 1s, make_online(9));
+    const auto granted = of_kind(verdicts, verdict_kind::granted);
+    const auto yielded = of_kind(verdicts, verdict_kind::yield);
+    ASSERT_EQ(granted.size(), 1U);
+    ASSERT_EQ(yielded.size(), 1U);
+    EXPECT_EQ(yielded.front().id.number, 4U);
+    EXPECT_EQ(yielded.front().runner, granted.front().runner);
+    EXPECT_EQ(this->scheduler.slots_in_use(work_kind::batch), 3U);
+}
+
+TEST_F(slot_scheduler_test, items_take_a_slot_as_soon_as_it_is_idle)
+{
+    this->give_runners(1, 1);
+    this->scheduler.on_request(start, make_online(1));
+    EXPECT_THAT(
+        of_kind(
+            this->scheduler.on_request(start, make_item(2)),
+            verdict_kind::granted),
+        ::testing::IsEmpty());
+    const auto verdicts = this->scheduler.on_release(
+        start + 700ms, make_online(1).id, slot_outcome::completed);
+    ASSERT_EQ(of_kind(verdicts, verdict_kind::granted).size(), 1U);
+    EXPECT_EQ(verdicts.front().id, make_item(2).id);
+}
+
+// Load pattern: more online requests at once than all slots can serve in time.
+TEST_F(slot_scheduler_test, refuses_at_once_what_would_be_late)
+{
+    this->give_runners(1, 2);
+    std::vector<slot_verdict> refused;
+    for (std::uint64_t number = 1; number <= 40; ++number)
+    {
+        const auto verdicts =
+            this->scheduler.on_request(start, make_online(number));
+        const auto found = of_kind(verdicts, verdict_kind::refused);
+        refused.insert(refused.end(), found.begin(), found.end());
+    }
+    ASSERT_FALSE(refused.empty());
+    // Two slots of 750 ms each cannot begin anything within 300 ms.
+    EXPECT_EQ(refused.size(), 38U);
+    EXPECT_EQ(this->scheduler.waiting(work_kind::online), 0U);
+}
+
+TEST_F(slot_scheduler_test, spreads_the_times_at_which_refused_callers_return)
+{
+    this->give_runners(1, 2);
+    std::vector<duration> returns;
+    for (std::uint64_t number = 1; number <= 5; ++number)
+    {
+        for (const slot_verdict& verdict : of_kind(
+                 this->scheduler.on_request(start, make_online(number)),
+                 verdict_kind::refused))
+        {
+            returns.push_back(verdict.retry_after);
+        }
+    }
+    ASSERT_EQ(returns.size(), 3U);
+    // Two slots of 750 ms: one comes free each 375 ms.
+    EXPECT_GE(returns[1] - returns[0], 300ms);
+    EXPECT_GE(returns[2] - returns[1], 100ms);
+    for (const duration back : returns)
+    {
+        EXPECT_LE(back, duration(5s) / 3);
+    }
+}
+
+TEST_F(slot_scheduler_test, who_came_back_goes_first_and_is_not_refused_again)
+{
+    this->give_runners(1, 1);
+    this->scheduler.on_request(start, make_online(1));
+    ASSERT_EQ(
+        of_kind(
+            this->scheduler.on_request(start, make_online(2)),
+            verdict_kind::refused)
+            .size(),
+        1U);
+    slot_request again = make_online(3);
+    again.request_digest = make_online(2).request_digest;
+    EXPECT_THAT(
+        of_kind(
+            this->scheduler.on_request(start + 200ms, again),
+            verdict_kind::refused),
+        ::testing::IsEmpty());
+    // A request that comes in the meantime does not overtake it.
+    this->scheduler.on_request(start + 600ms, make_online(4));
+    const auto verdicts = this->scheduler.on_release(
+        start + 750ms, make_online(1).id, slot_outcome::completed);
+    const auto granted = of_kind(verdicts, verdict_kind::granted);
+    ASSERT_EQ(granted.size(), 1U);
+    EXPECT_EQ(granted.front().id, again.id);
+}
+
+// Load pattern: more items than can be in time.
+TEST_F(slot_scheduler_test, items_that_can_be_in_time_go_before_late_ones)
+{
+    this->give_runners(1, 1);
+    this->scheduler.on_request(start, make_online(1));
+    this->scheduler.on_request(start, make_item(2, 4s));
+    this->scheduler.on_request(start, make_item(3, 12s));
+    this->scheduler.on_request(start, make_item(4, 9s));
+    const auto verdicts = this->scheduler.on_release(
+        start + 700ms, make_online(1).id, slot_outcome::completed);
+    const auto granted = of_kind(verdicts, verdict_kind::granted);
+    ASSERT_EQ(granted.size(), 1U);
+    EXPECT_EQ(granted.front().id.number, 4U);
+}
+
+TEST_F(slot_scheduler_test, a_lost_release_is_made_good_by_the_next_report)
+{
+    this->give_runners(1, 1);
+    this->scheduler.on_request(start, make_online(1));
+    this->scheduler.on_report(start + 100ms, "a", 1, {}, {});
+    EXPECT_EQ(this->scheduler.slots_in_use(work_kind::online), 1U);
+    this->scheduler.on_report(start + 400ms, "a", 1, {}, {});
+    EXPECT_EQ(this->scheduler.slots_in_use(work_kind::online), 0U);
+}
+
+TEST_F(slot_scheduler_test, a_new_coordinator_learns_slots_in_use_from_reports)
+{
+    this->give_runners(1, 1);
+    held_slot held;
+    held.id = make_online(7).id;
+    held.service = "chat";
+    held.runner = "r0";
+    held.age = 500ms;
+    this->scheduler.on_report(start, "a", 1, {held}, {});
+    EXPECT_THAT(
+        of_kind(
+            this->scheduler.on_request(start, make_item(8)),
+            verdict_kind::granted),
+        ::testing::IsEmpty());
+}
+
+TEST_F(slot_scheduler_test, slots_of_a_silent_or_restarted_node_are_free)
+{
+    this->give_runners(1, 1);
+    this->scheduler.on_request(start, make_online(1));
+    this->scheduler.on_tick(start + 2s);
+    EXPECT_EQ(this->scheduler.slots_in_use(work_kind::online), 0U);
+    this->scheduler.on_request(start + 3s, make_online(2));
+    slot_request restarted = make_online(1);
+    restarted.id.incarnation = 2;
+    const auto verdicts = this->scheduler.on_request(start + 3s, restarted);
+    EXPECT_EQ(of_kind(verdicts, verdict_kind::granted).size(), 1U);
+}
+
+TEST_F(slot_scheduler_test, a_runner_that_broke_is_tried_with_repeatable_work)
+{
+    this->give_runners(1, 4);
+    this->scheduler.on_request(start, make_online(1));
+    this->scheduler.on_release(
+        start + 10ms, make_online(1).id, slot_outcome::broken);
+    const time_point later = start + 1s;
+    EXPECT_THAT(
+        of_kind(
+            this->scheduler.on_request(later, make_online(2)),
+            verdict_kind::granted),
+        ::testing::IsEmpty());
+    EXPECT_EQ(
+        of_kind(
+            this->scheduler.on_request(later, make_item(3)),
+            verdict_kind::granted)
+            .size(),
+        1U);
+    this->scheduler.on_release(
+        later + 100ms, make_item(3).id, slot_outcome::completed);
+    EXPECT_EQ(
+        of_kind(
+            this->scheduler.on_request(later + 200ms, make_online(4)),
+            verdict_kind::granted)
+            .size(),
+        1U);
+}
+
+TEST_F(slot_scheduler_test, a_repeated_request_gets_the_same_slot)
+{
+    this->give_runners(2, 1);
+    const auto first = this->scheduler.on_request(start, make_online(1));
+    const auto second =
+        this->scheduler.on_request(start + 40ms, make_online(1));
+    EXPECT_EQ(
+        of_kind(first, verdict_kind::granted),
+        of_kind(second, verdict_kind::granted));
+    EXPECT_EQ(this->scheduler.slots_in_use(work_kind::online), 1U);
+}
+
+} // namespace
+
+} // namespace chicory::serving
--- /dev/null
+++ b/wire/slot_packet.cpp
@@ -0,0 +1,112 @@
+#include "wire/slot_packet.hpp"
+
+#include "wire/memory_archive.hpp"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+namespace chicory::serving
+{
+
+template <class Archive>
+void serialize(Archive& archive, slot_id& value)
+{
+    archive(value.node, value.incarnation, value.number);
+}
+
+/// Durations travel as microseconds.
+template <class Archive>
+void save_duration(Archive& archive, duration& value)
+{
+    std::int64_t count = value.count();
+    archive(count);
+    value = duration(count);
+}
+
+template <class Archive>
+void serialize(Archive& archive, slot_request& value)
+{
+    archive(value.id, value.kind, value.service, value.zone);
+    save_duration(archive, value.on_time_left);
+    save_duration(archive, value.time_left);
+    save_duration(archive, value.work_left);
+    archive(value.request_digest, value.repeatable, value.excluded);
+}
+
+template <class Archive>
+void serialize(Archive& archive, held_slot& value)
+{
+    archive(value.id, value.kind, value.service, value.runner);
+    save_duration(archive, value.age);
+}
+
+template <class Archive>
+void serialize(Archive& archive, slot_verdict& value)
+{
+    archive(value.id, value.kind, value.runner);
+    save_duration(archive, value.retry_after);
+}
+
+} // namespace chicory::serving
+
+namespace chicory::wire
+{
+
+template <class Archive>
+void serialize(Archive& archive, slot_release& value)
+{
+    archive(value.service, value.id, value.outcome);
+}
+
+template <class Archive>
+void serialize(Archive& archive, slot_report& value)
+{
+    archive(
+        value.service,
+        value.node,
+        value.incarnation,
+        value.held,
+        value.waiting);
+}
+
+template <class Archive>
+void serialize(Archive& archive, slot_verdicts& value)
+{
+    archive(value.service, value.verdicts);
+}
+
+std::string encode_slot_packet(const slot_packet& value)
+{
+    std::string bytes;
+    memory_writer archive(bytes);
+    archive(value);
+    return bytes;
+}
+
+result<slot_packet> decode_slot_packet(std::string_view bytes)
+{
+    try
+    {
+        memory_reader archive(bytes);
+        slot_packet value;
+        archive(value);
+        if (archive.bytes_left() == 0)
+        {
+            return value;
+        }
+        return make_error(
+            error_kind::invalid_input,
+            "slot packet: expected its end, found " +
+                std::to_string(archive.bytes_left()) + " more bytes");
+    }
+    catch (const cereal::Exception& failure)
+    {
+        return make_error(
+            error_kind::invalid_input,
+            "slot packet of " + std::to_string(bytes.size()) +
+                " bytes: " + failure.what());
+    }
+}
+
+} // namespace chicory::wire
--- /dev/null
+++ b/wire/slot_packet.hpp
@@ -0,0 +1,51 @@
+#ifndef CHICORY_WIRE_SLOT_PACKET_HPP
+#define CHICORY_WIRE_SLOT_PACKET_HPP
+
+#include "policy/serving/serving.hpp"
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace chicory::wire
+{
+
+/// Tells that a slot or a request for one is needed no more.
+struct slot_release
+{
+    std::string service;
+    serving::slot_id id;
+    serving::slot_outcome outcome = serving::slot_outcome::completed;
+};
+
+/// All slots of a service that a node uses, and all its requests that wait.
+struct slot_report
+{
+    std::string service;
+    std::string node;
+    std::uint64_t incarnation = 0;
+    std::vector<serving::held_slot> held;
+    std::vector<serving::slot_request> waiting;
+};
+
+/// Answer to a report, and to a request together with its verdicts.
+struct slot_verdicts
+{
+    std::string service;
+    std::vector<serving::slot_verdict> verdicts;
+};
+
+/// A datagram between a node and the coordinator of a service's slots.
+using slot_packet = std::
+    variant<serving::slot_request, slot_release, slot_report, slot_verdicts>;
+
+/// Encodes a packet in little-endian binary form.
+std::string encode_slot_packet(const slot_packet& value);
+
+/// Decodes a packet. Error: invalid_input for bytes that are no packet.
+result<slot_packet> decode_slot_packet(std::string_view bytes);
+
+} // namespace chicory::wire
+
+#endif
--- a/wire/wire.hpp
+++ b/wire/wire.hpp
@@ -5,5 +5,6 @@
 
 #include "wire/link.hpp"
 #include "wire/message.hpp"
+#include "wire/slot_packet.hpp"
 
 #endif
