--- /dev/null
+++ b/servers/node/fleet_knowledge.cpp
@@ -0,0 +1,167 @@
+#include "servers/node/fleet_knowledge.hpp"
+
+#include "platform/platform.hpp"
+
+#include <utility>
+
+namespace chicory::node
+{
+
+fleet_knowledge::fleet_knowledge(
+    boost::asio::io_context& io,
+    ports::record_store& store,
+    adopted_hook hook,
+    std::uint64_t seed)
+    : on_adopted(std::move(hook)),
+      configuration_watch(
+          io,
+          store,
+          std::string(platform::configuration_table),
+          {[this](const std::vector<ports::record>& records, std::int64_t)
+           {
+               for (const ports::record& found : records)
+               {
+                   this->take_configuration(found);
+               }
+           },
+           [this](const ports::record& changed)
+           {
+               this->take_configuration(changed);
+           },
+           [](bool) {}},
+          seed),
+      runner_watch(
+          io,
+          store,
+          std::string(platform::runner_table),
+          {[this](
+               const std::vector<ports::record>& records, std::int64_t version)
+           {
+               this->take_runners(records, version);
+           },
+           [this](const ports::record& changed)
+           {
+               this->take_runner(changed);
+           },
+           [this](bool reached)
+           {
+               this->on_contact(reached);
+           }},
+          seed + 1)
+{
+}
+
+void fleet_knowledge::start()
+{
+    this->configuration_watch.start();
+    this->runner_watch.start();
+}
+
+std::shared_ptr<const serving::serving_configuration>
+fleet_knowledge::configuration() const
+{
+    return this->in_force;
+}
+
+const std::string& fleet_knowledge::configuration_text() const
+{
+    return this->in_force_text;
+}
+
+void fleet_knowledge::offer_configuration(
+    const std::string& text, std::string_view source)
+{
+    result<serving::serving_configuration> read =
+        platform::read_configuration(text);
+    if (!read)
+    {
+        log_event(
+            event::configuration_rejected,
+            {{"source", std::string(source)}, {"error", read.error().text}});
+        return;
+    }
+    if (this->in_force != nullptr &&
+        this->in_force->version >= read.value().version)
+    {
+        return;
+    }
+    this->in_force = std::make_shared<const serving::serving_configuration>(
+        std::move(read.value()));
+    this->in_force_text = text;
+    log_event(
+        event::configuration_adopted,
+        {{"revision", this->in_force->version},
+         {"routes", this->in_force->routes.size()},
+         {"source", std::string(source)}});
+    this->on_adopted(*this->in_force);
+}
+
+void fleet_knowledge::take_configuration(const ports::record& source)
+{
+    if (source.key == platform::configuration_key && !source.deleted)
+    {
+        this->offer_configuration(source.value, "store");
+    }
+}
+
+void fleet_knowledge::take_runner(const ports::record& changed)
+{
+    const time_point now = read_monotonic_clock();
+    if (changed.deleted)
+    {
+        this->directory.on_removed(now, changed.key, changed.version);
+        return;
+    }
+    const result<serving::runner_entry> entry = platform::read_runner(changed);
+    if (!entry)
+    {
+        log_event(
+            event::runner_entry_rejected,
+            {{"runner", changed.key}, {"error", entry.error().text}});
+        this->directory.on_removed(now, changed.key, changed.version);
+        return;
+    }
+    this->directory.on_entry(now, entry.value());
+}
+
+void fleet_knowledge::take_runners(
+    const std::vector<ports::record>& records, std::int64_t version)
+{
+    std::vector<serving::runner_entry> entries;
+    for (const ports::record& found : records)
+    {
+        result<serving::runner_entry> entry = platform::read_runner(found);
+        if (!entry)
+        {
+            log_event(
+                event::runner_entry_rejected,
+                {{"runner", found.key}, {"error", entry.error().text}});
+            continue;
+        }
+        entries.push_back(std::move(entry.value()));
+    }
+    this->directory.on_snapshot(read_monotonic_clock(), entries, version);
+}
+
+void fleet_knowledge::on_contact(bool reached)
+{
+    const time_point now = read_monotonic_clock();
+    if (reached)
+    {
+        this->directory.on_store_back(now);
+        return;
+    }
+    this->directory.on_store_lost(now);
+}
+
+serving::runner_directory& fleet_knowledge::runners()
+{
+    return this->directory;
+}
+
+bool fleet_knowledge::is_store_reached() const
+{
+    return this->configuration_watch.is_current();
+}
+
+} // namespace chicory::node
--- /dev/null
+++ b/servers/node/item_run.cpp
@@ -0,0 +1,279 @@
+#include "servers/node/item_run.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace chicory::node
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+constexpr int status_ok = 200;
+constexpr int status_failed = 500;
+constexpr int status_impossible = 422;
+/// Time for one token of a run, by the engines' data sheets.
+constexpr std::chrono::microseconds token_time(3400);
+constexpr std::chrono::milliseconds shortest_work(30);
+/// Wait for the begin of an answer, and silence within one, after which an
+/// item goes on at another runner.
+constexpr std::chrono::milliseconds head_limit(2500);
+constexpr std::chrono::milliseconds silence_limit(1500);
+constexpr std::chrono::milliseconds retry_pause(50);
+constexpr std::chrono::milliseconds no_route_pause(200);
+/// Runners that an item avoids after they failed it, the latest ones.
+constexpr std::size_t most_avoided = 2;
+
+} // namespace
+
+item_run::item_run(
+    asio::io_context& io,
+    item_services shared_services,
+    const platform::job_item& its_item,
+    std::string its_job,
+    std::string route_name,
+    time_point due_at,
+    time_point given_up_at)
+    : context(io), services(shared_services), item(its_item),
+      job(std::move(its_job)), route(std::move(route_name)), due(due_at),
+      gives_up_at(given_up_at),
+      output_tokens(platform::read_caller_terms(its_item.headers).output_tokens)
+{
+}
+
+void item_run::stop()
+{
+    this->stopped = true;
+    this->waiting.withdraw();
+    this->close_run();
+}
+
+void item_run::yield()
+{
+    this->yielding = true;
+    this->close_run();
+}
+
+void item_run::close_run()
+{
+    if (this->sending != nullptr)
+    {
+        this->sending->cancel();
+    }
+    if (this->stream != nullptr)
+    {
+        this->stream->close();
+    }
+}
+
+const serving::item_progress& item_run::progress() const
+{
+    return this->text;
+}
+
+duration item_run::expected_work() const
+{
+    const duration whole = duration(token_time) * this->output_tokens;
+    return std::max<duration>(shortest_work, whole - this->worked);
+}
+
+asio::awaitable<void> item_run::pause(duration length)
+{
+    asio::steady_timer timer(this->context);
+    timer.expires_after(length);
+    co_await timer.async_wait(as_result);
+}
+
+asio::awaitable<item_end> item_run::work()
+{
+    while (!this->stopped)
+    {
+        const step next = co_await this->run_once();
+        switch (next)
+        {
+        case step::completed:
+            co_return item_end::completed;
+        case step::failed:
+            co_return item_end::failed;
+        case step::impossible:
+            co_return item_end::impossible;
+        case step::again:
+            break;
+        }
+    }
+    co_return item_end::stopped;
+}
+
+asio::awaitable<item_run::step> item_run::run_once()
+{
+    const std::shared_ptr<const serving::serving_configuration> configuration =
+        this->services.knowledge.configuration();
+    const serving::serving_route* found =
+        configuration == nullptr
+            ? nullptr
+            : serving::find_route_by_name(*configuration, this->route);
+    if (found == nullptr)
+    {
+        co_await this->pause(no_route_pause);
+        co_return step::again;
+    }
+    slot_wish wish;
+    wish.kind = serving::work_kind::batch;
+    wish.service = serving::choose_service(*found, hash_bytes(this->item.id));
+    wish.on_time_until = this->due;
+    wish.gives_up_at = this->gives_up_at;
+    wish.work_left = this->expected_work();
+    wish.repeatable = true;
+    wish.excluded = this->avoided;
+    const std::string host = found->host;
+    const slot_answer slot =
+        co_await this->services.slots.acquire(std::move(wish), this->waiting);
+    if (slot.kind != slot_answer::answer_kind::granted)
+    {
+        co_await this->pause(retry_pause);
+        co_return step::again;
+    }
+    if (this->stopped)
+    {
+        this->services.slots.release(slot.id, serving::slot_outcome::unused);
+        co_return step::again;
+    }
+    this->yielding = false;
+    net::http_cancellation cancellation;
+    this->sending = &cancellation;
+    this->services.slots.set_yield(
+        slot.id,
+        [this]
+        {
+            this->yield();
+        });
+    log_event(
+        event::item_placed,
+        {{"job", this->job},
+         {"item", this->item.id},
+         {"runner", slot.runner},
+         {"after", this->text.last_event_id()}});
+    const time_point begun = read_monotonic_clock();
+    runner_outcome outcome = co_await this->services.runners.send(
+        slot.runner,
+        platform::make_item_request(
+            this->item, host, slot.runner, this->text.last_event_id()),
+        head_limit,
+        cancellation);
+    this->sending = nullptr;
+    if (outcome.contact != runner_contact::answering)
+    {
+        const bool own_end = this->stopped || this->yielding;
+        this->services.slots.release(
+            slot.id,
+            own_end ? serving::slot_outcome::cancelled
+                    : to_slot_outcome(outcome.contact));
+        if (!own_end)
+        {
+            this->avoided.push_back(slot.runner);
+            if (this->avoided.size() > most_avoided)
+            {
+                this->avoided.erase(this->avoided.begin());
+            }
+            log_event(
+                event::item_interrupted,
+                {{"job", this->job},
+                 {"item", this->item.id},
+                 {"runner", slot.runner},
+                 {"error", outcome.failure}});
+            co_await this->pause(retry_pause);
+        }
+        co_return step::again;
+    }
+    const step next =
+        co_await this->take_answer(slot, std::move(outcome.stream));
+    this->worked += read_monotonic_clock() - begun;
+    co_return next;
+}
+
+asio::awaitable<item_run::step> item_run::take_answer(
+    const slot_answer& slot, std::unique_ptr<net::http_stream> answer)
+{
+    const int status = answer->head().status;
+    if (status == status_ok && platform::is_event_stream(answer->head()))
+    {
+        this->stream = std::move(answer);
+        if (this->stopped || this->yielding)
+        {
+            this->stream->close();
+        }
+        co_return co_await this->read_text(slot);
+    }
+    this->services.slots.release(slot.id, serving::slot_outcome::completed);
+    if (status == status_impossible)
+    {
+        co_return step::impossible;
+    }
+    if (status == status_failed)
+    {
+        co_return step::failed;
+    }
+    log_event(
+        event::item_interrupted,
+        {{"job", this->job},
+         {"item", this->item.id},
+         {"runner", slot.runner},
+         {"error", "status " + std::to_string(status)}});
+    co_await this->pause(retry_pause);
+    co_return step::again;
+}
+
+asio::awaitable<item_run::step> item_run::read_text(const slot_answer& slot)
+{
+    this->text.begin_run();
+    std::string failure;
+    bool ended = false;
+    while (failure.empty() && !ended)
+    {
+        const result<std::string> piece =
+            co_await this->stream->read_some(silence_limit);
+        if (!piece)
+        {
+            failure = piece.error().text;
+        }
+        else if (!this->text.take(piece.value()))
+        {
+            failure =
+                "an event does not follow event " + this->text.last_event_id();
+        }
+        ended = piece && piece.value().empty();
+    }
+    if (failure.empty() && this->text.is_whole())
+    {
+        this->stream.reset();
+        this->services.slots.release(slot.id, serving::slot_outcome::completed);
+        co_return step::completed;
+    }
+    this->stream->close();
+    this->stream.reset();
+    const bool own_end = this->stopped || this->yielding;
+    this->services.slots.release(
+        slot.id,
+        own_end ? serving::slot_outcome::cancelled
+                : serving::slot_outcome::broken);
+    this->services.numbers.count_retry(
+        own_end ? reason::yielded_to_online : reason::stream_broken);
+    log_event(
+        event::item_interrupted,
+        {{"job", this->job},
+         {"item", this->item.id},
+         {"runner", slot.runner},
+         {"after", this->text.last_event_id()},
+         {"error", own_end ? "yielded" : failure}});
+    co_return step::again;
+}
+
+} // namespace chicory::node
--- /dev/null
+++ b/servers/node/item_run.hpp
@@ -0,0 +1,104 @@
+#ifndef CHICORY_SERVERS_NODE_ITEM_RUN_HPP
+#define CHICORY_SERVERS_NODE_ITEM_RUN_HPP
+
+#include "platform/platform.hpp"
+#include "policy/serving/serving.hpp"
+#include "servers/node/fleet_knowledge.hpp"
+#include "servers/node/runner_caller.hpp"
+#include "servers/node/slot_client.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace chicory::node
+{
+
+/// How the work on an item went.
+enum class item_end
+{
+    /// The whole text is there.
+    completed,
+    /// The runner answered that the run failed.
+    failed,
+    /// The runner answered that the item can never be done.
+    impossible,
+    /// The work was stopped from outside.
+    stopped,
+};
+
+/// What item runs of a node share.
+struct item_services
+{
+    fleet_knowledge& knowledge;
+    slot_client& slots;
+    runner_caller& runners;
+    metrics& numbers;
+};
+
+/// Runs one item until it ends: gets a slot, sends the item, and goes on
+/// elsewhere with the text so far when it has to yield or a runner is lost.
+class item_run
+{
+public:
+    item_run(
+        boost::asio::io_context& io,
+        item_services shared_services,
+        const platform::job_item& its_item,
+        std::string its_job,
+        std::string route_name,
+        time_point due_at,
+        time_point given_up_at);
+
+    /// Works until the item ends in one of the ways of `item_end`. May be
+    /// called again after `failed`.
+    boost::asio::awaitable<item_end> work();
+
+    /// Stops the work soon.
+    void stop();
+
+    const serving::item_progress& progress() const;
+
+private:
+    enum class step
+    {
+        again,
+        completed,
+        failed,
+        impossible,
+    };
+
+    void yield();
+    void close_run();
+    duration expected_work() const;
+    boost::asio::awaitable<step> run_once();
+    boost::asio::awaitable<step> take_answer(
+        const slot_answer& slot, std::unique_ptr<net::http_stream> answer);
+    boost::asio::awaitable<step> read_text(const slot_answer& slot);
+    boost::asio::awaitable<void> pause(duration length);
+
+    boost::asio::io_context& context;
+    item_services services;
+    const platform::job_item& item;
+    std::string job;
+    std::string route;
+    time_point due;
+    time_point gives_up_at;
+    std::int64_t output_tokens;
+    serving::item_progress text;
+    /// Time that runs of the item have taken.
+    duration worked = duration::zero();
+    net::http_cancellation* sending = nullptr;
+    std::unique_ptr<net::http_stream> stream;
+    slot_wait waiting;
+    std::vector<std::string> avoided;
+    bool stopped = false;
+    bool yielding = false;
+};
+
+} // namespace chicory::node
+
+#endif
--- /dev/null
+++ b/servers/node/job_front.cpp
@@ -0,0 +1,321 @@
+#include "servers/node/job_front.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace chicory::node
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr int status_accepted = 202;
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_too_many = 429;
+constexpr int status_gateway_timeout = 504;
+/// Bytes of texts in one answer; JSON and its escapes come on top.
+constexpr std::size_t most_answer_bytes = 700000;
+constexpr std::chrono::milliseconds longest_poll(1000);
+constexpr std::chrono::milliseconds unavailable_retry(300);
+constexpr std::chrono::milliseconds over_limit_retry(1000);
+/// Time within which the end of a job must be confirmed.
+constexpr std::chrono::milliseconds end_limit(3000);
+
+net::http_response make_text(int status, std::string text)
+{
+    net::http_response response;
+    response.status = status;
+    response.headers["content-type"] = "text/plain";
+    response.body = std::move(text);
+    return response;
+}
+
+} // namespace
+
+job_front::job_front(
+    job_ledger& its_ledger,
+    job_runner& its_runner,
+    metrics& counters,
+    std::string vm_id,
+    std::uint64_t started)
+    : ledger(its_ledger), runner(its_runner), numbers(counters),
+      self(std::move(vm_id)), incarnation(started)
+{
+}
+
+asio::awaitable<void> job_front::submit(
+    net::http_exchange& exchange,
+    const serving::serving_route& route,
+    std::string body)
+{
+    const std::string id =
+        platform::read_caller_terms(exchange.head().headers).attempt_id;
+    result<std::vector<platform::job_item>> items =
+        platform::read_submission(body);
+    if (!platform::is_valid_name(id) || !items)
+    {
+        const std::string why =
+            items ? "job: expected an id, found \"" + id + "\""
+                  : items.error().text;
+        log_event(event::job_refused, {{"job", id}, {"reason", why}});
+        this->numbers.count_refusal(reason::invalid_request);
+        co_await exchange.respond(make_text(status_bad_request, why));
+        co_return;
+    }
+    serving::job_record job;
+    job.id = id;
+    job.route = route.name;
+    job.owner = this->self;
+    job.owner_incarnation = this->incarnation;
+    job.accepted_ms = read_wall_clock_ms();
+    for (const platform::job_item& item : items.value())
+    {
+        job.tokens.push_back(item.tokens);
+    }
+    const std::size_t count = items.value().size();
+    const submit_outcome outcome = co_await this->ledger.submit(
+        std::move(job), std::move(body), route.max_waiting_tokens);
+    if (outcome == submit_outcome::accepted)
+    {
+        const serving::job_record* known = this->ledger.find(id);
+        if (known != nullptr && known->owner == this->self &&
+            known->owner_incarnation == this->incarnation)
+        {
+            this->runner.on_accepted(id, std::move(items.value()));
+        }
+        log_event(event::job_accepted, {{"job", id}, {"items", count}});
+        this->numbers.add("jobs_accepted_total");
+        co_await exchange.respond(make_text(status_accepted, "accepted"));
+        co_return;
+    }
+    const reason why = outcome == submit_outcome::over_limit
+                           ? reason::job_limit
+                           : reason::table_service_unavailable;
+    this->numbers.count_refusal(why);
+    log_event(
+        event::job_refused,
+        {{"job", id},
+         {"reason", std::string(name_of(why))},
+         {"certain", outcome == submit_outcome::unknown ? 0 : 1}});
+    if (outcome == submit_outcome::unknown)
+    {
+        co_await exchange.respond(
+            make_text(status_gateway_timeout, "the job may have been kept"));
+        co_return;
+    }
+    net::http_response refusal = platform::make_refusal(
+        outcome == submit_outcome::over_limit ? over_limit_retry
+                                              : unavailable_retry,
+        name_of(why));
+    if (outcome == submit_outcome::over_limit)
+    {
+        refusal.status = status_too_many;
+    }
+    co_await exchange.respond(std::move(refusal));
+}
+
+asio::awaitable<void>
+job_front::answer(net::http_exchange& exchange, platform::job_call call)
+{
+    if (!platform::is_valid_name(call.job))
+    {
+        co_await exchange.respond(make_text(status_not_found, "no such job"));
+        co_return;
+    }
+    switch (call.kind)
+    {
+    case platform::job_call_kind::read_results:
+        co_await this->read_results(exchange, call);
+        break;
+    case platform::job_call_kind::read_item:
+        co_await this->read_item(exchange, call);
+        break;
+    case platform::job_call_kind::end:
+        co_await this->end(exchange, call);
+        break;
+    }
+}
+
+asio::awaitable<void>
+job_front::respond_unsure(net::http_exchange& exchange, const error& failure)
+{
+    if (failure.kind == error_kind::not_found)
+    {
+        co_await exchange.respond(make_text(status_not_found, failure.text));
+        co_return;
+    }
+    this->numbers.count_refusal(reason::table_service_unavailable);
+    co_await exchange.respond(
+        platform::make_refusal(unavailable_retry, failure.text));
+}
+
+asio::awaitable<void> job_front::respond_results(
+    net::http_exchange& exchange,
+    const serving::job_record& job,
+    std::int64_t after)
+{
+    const std::int64_t total = static_cast<std::int64_t>(job.tokens.size());
+    const std::int64_t listed = static_cast<std::int64_t>(job.listed.size());
+    if (after >= listed)
+    {
+        co_await exchange.respond(
+            platform::make_results_answer(total, after, {}));
+        co_return;
+    }
+    const result<std::vector<std::string>> texts =
+        co_await this->ledger.read_texts(job.id, after, most_answer_bytes);
+    if (!texts)
+    {
+        co_await this->respond_unsure(exchange, texts.error());
+        co_return;
+    }
+    const std::vector<platform::job_item>* items =
+        this->runner.find_items(job.id);
+    std::vector<platform::job_item> read;
+    if (items == nullptr)
+    {
+        const result<std::string> body =
+            co_await this->ledger.read_body(job.id);
+        if (!body)
+        {
+            co_await this->respond_unsure(exchange, body.error());
+            co_return;
+        }
+        result<std::vector<platform::job_item>> parsed =
+            platform::read_submission(body.value());
+        if (parsed)
+        {
+            read = std::move(parsed.value());
+        }
+        items = &read;
+    }
+    std::vector<platform::job_result> results;
+    for (std::size_t at = 0; at < texts.value().size(); ++at)
+    {
+        const serving::listed_result& entry =
+            job.listed[static_cast<std::size_t>(after) + at];
+        results.push_back(
+            {items->at(static_cast<std::size_t>(entry.item)).id,
+             entry.state,
+             texts.value()[at]});
+    }
+    co_await exchange.respond(
+        platform::make_results_answer(total, after, results));
+}
+
+asio::awaitable<void> job_front::read_results(
+    net::http_exchange& exchange, const platform::job_call& call)
+{
+    const duration wait = std::min<duration>(
+        platform::read_caller_terms(exchange.head().headers).poll_time,
+        longest_poll);
+    const serving::job_record* known = this->ledger.find(call.job);
+    const std::size_t after = static_cast<std::size_t>(call.after);
+    if (known != nullptr && known->listed.size() <= after &&
+        serving::is_open(*known) && wait > duration::zero())
+    {
+        co_await this->ledger.wait_for_results(
+            call.job, after, read_monotonic_clock() + wait);
+        known = this->ledger.find(call.job);
+    }
+    if (known != nullptr && known->listed.size() > after)
+    {
+        const serving::job_record job = *known;
+        co_await this->respond_results(exchange, job, call.after);
+        co_return;
+    }
+    // The view may lag behind what another node has already shown.
+    const result<serving::job_record> found =
+        co_await this->ledger.look_up(call.job);
+    if (!found)
+    {
+        co_await this->respond_unsure(exchange, found.error());
+        co_return;
+    }
+    const serving::job_record job = found.value();
+    co_await this->respond_results(exchange, job, call.after);
+}
+
+asio::awaitable<void> job_front::read_item(
+    net::http_exchange& exchange, const platform::job_call& call)
+{
+    if (this->ledger.find(call.job) == nullptr)
+    {
+        const result<serving::job_record> found =
+            co_await this->ledger.look_up(call.job);
+        if (!found)
+        {
+            co_await this->respond_unsure(exchange, found.error());
+            co_return;
+        }
+    }
+    const std::vector<platform::job_item>* items =
+        this->runner.find_items(call.job);
+    std::vector<platform::job_item> read;
+    if (items == nullptr)
+    {
+        const result<std::string> body =
+            co_await this->ledger.read_body(call.job);
+        if (!body)
+        {
+            co_await this->respond_unsure(exchange, body.error());
+            co_return;
+        }
+        result<std::vector<platform::job_item>> parsed =
+            platform::read_submission(body.value());
+        if (parsed)
+        {
+            read = std::move(parsed.value());
+        }
+        items = &read;
+    }
+    for (const platform::job_item& item : *items)
+    {
+        if (item.id == call.item)
+        {
+            net::http_response response;
+            response.headers["content-type"] = "application/octet-stream";
+            response.body = item.body;
+            co_await exchange.respond(std::move(response));
+            co_return;
+        }
+    }
+    co_await exchange.respond(make_text(status_not_found, "no such item"));
+}
+
+asio::awaitable<void>
+job_front::end(net::http_exchange& exchange, const platform::job_call& call)
+{
+    job_ledger::change_function end =
+        [](const serving::job_record& record) -> std::optional<job_change>
+    {
+        if (record.ended)
+        {
+            return std::nullopt;
+        }
+        job_change wanted{record, {}};
+        wanted.record.ended = true;
+        return wanted;
+    };
+    const result<serving::job_record> changed =
+        co_await this->ledger.change(call.job, std::move(end), end_limit);
+    if (!changed)
+    {
+        if (changed.error().kind == error_kind::outcome_unknown)
+        {
+            co_await exchange.respond(
+                make_text(status_gateway_timeout, changed.error().text));
+            co_return;
+        }
+        co_await this->respond_unsure(exchange, changed.error());
+        co_return;
+    }
+    log_event(event::job_cancelled, {{"job", call.job}});
+    co_await exchange.respond(make_text(200, "ended"));
+}
+
+} // namespace chicory::node
--- /dev/null
+++ b/servers/node/job_front.hpp
@@ -0,0 +1,60 @@
+#ifndef CHICORY_SERVERS_NODE_JOB_FRONT_HPP
+#define CHICORY_SERVERS_NODE_JOB_FRONT_HPP
+
+#include "net/net.hpp"
+#include "platform/platform.hpp"
+#include "servers/node/job_ledger.hpp"
+#include "servers/node/job_runner.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <string>
+
+namespace chicory::node
+{
+
+/// Answers callers' calls about batch jobs.
+class job_front
+{
+public:
+    job_front(
+        job_ledger& its_ledger,
+        job_runner& its_runner,
+        metrics& counters,
+        std::string vm_id,
+        std::uint64_t started);
+
+    /// Takes a submission on a route.
+    boost::asio::awaitable<void> submit(
+        net::http_exchange& exchange,
+        const serving::serving_route& route,
+        std::string body);
+
+    /// Answers a call about a job that exists.
+    boost::asio::awaitable<void>
+    answer(net::http_exchange& exchange, platform::job_call call);
+
+private:
+    boost::asio::awaitable<void>
+    read_results(net::http_exchange& exchange, const platform::job_call& call);
+    boost::asio::awaitable<void>
+    read_item(net::http_exchange& exchange, const platform::job_call& call);
+    boost::asio::awaitable<void>
+    end(net::http_exchange& exchange, const platform::job_call& call);
+    boost::asio::awaitable<void>
+    respond_unsure(net::http_exchange& exchange, const error& failure);
+    boost::asio::awaitable<void> respond_results(
+        net::http_exchange& exchange,
+        const serving::job_record& job,
+        std::int64_t after);
+
+    job_ledger& ledger;
+    job_runner& runner;
+    metrics& numbers;
+    std::string self;
+    std::uint64_t incarnation;
+};
+
+} // namespace chicory::node
+
+#endif
--- /dev/null
+++ b/servers/node/job_ledger.cpp
@@ -0,0 +1,728 @@
+#include "servers/node/job_ledger.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <utility>
+
+namespace chicory::node
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+constexpr std::string_view job_table = "jobs";
+constexpr std::string_view body_table = "job_bodies";
+constexpr std::string_view text_table = "job_texts";
+/// Key of the record that orders the acceptances of a route. No job has such
+/// an id.
+constexpr std::string_view limit_key = "/limit";
+/// Largest submission that goes into records; the store takes 1 MB in a call,
+/// and values grow by a third on the way.
+constexpr std::size_t most_body_bytes = 600000;
+/// Time for which a submission is tried.
+constexpr std::chrono::milliseconds submit_limit(3000);
+constexpr std::chrono::milliseconds refused_submit_limit(900);
+constexpr std::chrono::milliseconds retry_pause(60);
+constexpr std::chrono::milliseconds catch_up_pause(10);
+constexpr std::chrono::milliseconds catch_up_limit(600);
+/// Bytes of texts that a node keeps for reads.
+constexpr std::size_t most_kept_bytes = 32 << 20;
+
+std::string make_partition(const std::string& route)
+{
+    std::array<char, 24> name{};
+    std::snprintf(
+        name.data(),
+        name.size(),
+        "r%016llx",
+        static_cast<unsigned long long>(hash_bytes(route)));
+    return name.data();
+}
+
+std::string
+make_text_key(const std::string& id, std::int64_t position, std::size_t part)
+{
+    std::array<char, 32> suffix{};
+    std::snprintf(
+        suffix.data(),
+        suffix.size(),
+        "/%06lld/%02zu",
+        static_cast<long long>(position),
+        part);
+    return id + suffix.data();
+}
+
+std::string make_body_key(const std::string& id, std::size_t part)
+{
+    return make_text_key(id, 0, part);
+}
+
+std::string make_object_name(const std::string& id)
+{
+    return "job-" + id;
+}
+
+/// First key behind those that begin with an id and a slash.
+std::string end_of_keys(const std::string& id)
+{
+    return id + static_cast<char>('/' + 1);
+}
+
+} // namespace
+
+job_ledger::job_ledger(
+    asio::io_context& io,
+    ports::record_store& record_store,
+    ports::object_store& object_store,
+    std::int64_t record_bytes,
+    std::uint64_t seed)
+    : context(io), records(record_store), objects(object_store),
+      value_bytes(static_cast<std::size_t>(record_bytes)),
+      watch(
+          io,
+          record_store,
+          std::string(job_table),
+          {[this](const std::vector<ports::record>& found, std::int64_t version)
+           {
+               this->take_all(found, version);
+           },
+           [this](const ports::record& changed)
+           {
+               this->take(changed);
+               if (this->on_change)
+               {
+                   this->on_change();
+               }
+           },
+           [](bool) {}},
+          seed)
+{
+}
+
+void job_ledger::start()
+{
+    this->watch.start();
+}
+
+void job_ledger::set_change_hook(std::function<void()> hook)
+{
+    this->on_change = std::move(hook);
+}
+
+void job_ledger::notify(const std::string& id)
+{
+    const auto found = this->waiters.find(id);
+    if (found == this->waiters.end())
+    {
+        return;
+    }
+    for (asio::steady_timer* timer : found->second)
+    {
+        timer->cancel();
+    }
+}
+
+void job_ledger::adopt(const std::string& partition, serving::job_record record)
+{
+    const std::string id = record.id;
+    const auto found = this->jobs.find(id);
+    if (found != this->jobs.end() &&
+        found->second.record.version >= record.version)
+    {
+        return;
+    }
+    this->jobs[id] = {std::move(record), partition};
+    this->notify(id);
+}
+
+void job_ledger::take(const ports::record& changed)
+{
+    if (changed.key == limit_key)
+    {
+        std::int64_t& version = this->limit_versions[changed.partition];
+        version = std::max(version, changed.version);
+        return;
+    }
+    if (changed.deleted)
+    {
+        const auto found = this->jobs.find(changed.key);
+        if (found != this->jobs.end() &&
+            found->second.record.version < changed.version)
+        {
+            this->jobs.erase(found);
+        }
+        return;
+    }
+    result<serving::job_record> record =
+        serving::decode_job(changed.key, changed.value, changed.version);
+    if (!record)
+    {
+        log_event(
+            event::job_record_rejected,
+            {{"job", changed.key}, {"error", record.error().text}});
+        return;
+    }
+    this->adopt(changed.partition, std::move(record.value()));
+}
+
+void job_ledger::take_all(
+    const std::vector<ports::record>& found, std::int64_t version)
+{
+    std::set<std::string> present;
+    for (const ports::record& entry : found)
+    {
+        present.insert(entry.key);
+        this->take(entry);
+    }
+    std::erase_if(
+        this->jobs,
+        [&](const auto& item)
+        {
+            return !present.contains(item.first) &&
+                   item.second.record.version <= version;
+        });
+    if (this->on_change)
+    {
+        this->on_change();
+    }
+}
+
+const serving::job_record* job_ledger::find(const std::string& id) const
+{
+    const auto found = this->jobs.find(id);
+    return found == this->jobs.end() ? nullptr : &found->second.record;
+}
+
+std::vector<const serving::job_record*> job_ledger::all() const
+{
+    std::vector<const serving::job_record*> listed;
+    for (const auto& [id, known] : this->jobs)
+    {
+        listed.push_back(&known.record);
+    }
+    return listed;
+}
+
+std::int64_t job_ledger::waiting_on(const std::string& partition) const
+{
+    std::int64_t sum = 0;
+    for (const auto& [id, known] : this->jobs)
+    {
+        if (known.partition == partition)
+        {
+            sum += serving::waiting_tokens(known.record);
+        }
+    }
+    return sum;
+}
+
+asio::awaitable<result<std::optional<ports::record>>>
+job_ledger::read_one(std::string partition, std::string table, std::string key)
+{
+    ports::record_range range{table, partition, key, key + '\0'};
+    result<ports::record_page> page =
+        co_await this->records.read(std::move(range));
+    if (!page)
+    {
+        co_return page.error();
+    }
+    std::optional<ports::record> found;
+    for (ports::record& entry : page.value().records)
+    {
+        if (entry.key == key)
+        {
+            found = std::move(entry);
+        }
+    }
+    co_return found;
+}
+
+asio::awaitable<result<void>>
+job_ledger::catch_up(std::string partition, std::int64_t version)
+{
+    asio::steady_timer timer(this->context);
+    const time_point until = read_monotonic_clock() + duration(catch_up_limit);
+    while (this->limit_versions[partition] < version)
+    {
+        if (read_monotonic_clock() >= until)
+        {
+            co_return make_error(
+                error_kind::unavailable,
+                "jobs: expected changes up to version " +
+                    std::to_string(version) + ", found them up to " +
+                    std::to_string(this->limit_versions[partition]));
+        }
+        timer.expires_after(catch_up_pause);
+        co_await timer.async_wait(as_result);
+    }
+    co_return boost::outcome_v2::success();
+}
+
+std::vector<ports::record_write> job_ledger::make_body_writes(
+    serving::job_record& job, const std::string& body) const
+{
+    std::vector<ports::record_write> writes;
+    for (std::size_t at = 0; at < body.size(); at += this->value_bytes)
+    {
+        writes.push_back(
+            {std::string(body_table),
+             make_body_key(job.id, writes.size()),
+             body.substr(at, this->value_bytes)});
+    }
+    job.body_records = static_cast<std::int64_t>(writes.size());
+    return writes;
+}
+
+asio::awaitable<submit_outcome> job_ledger::submit(
+    serving::job_record job, std::string body, std::int64_t most_waiting_tokens)
+{
+    const std::string partition = make_partition(job.route);
+    const time_point started = read_monotonic_clock();
+    asio::steady_timer timer(this->context);
+    std::vector<ports::record_write> body_writes;
+    if (body.size() > most_body_bytes)
+    {
+        const result<void> stored =
+            co_await this->objects.put(make_object_name(job.id), body);
+        if (!stored)
+        {
+            co_return submit_outcome::unavailable;
+        }
+    }
+    else
+    {
+        body_writes = this->make_body_writes(job, body);
+    }
+    bool may_exist = false;
+    while (true)
+    {
+        if (this->find(job.id) != nullptr)
+        {
+            co_return submit_outcome::accepted;
+        }
+        ports::record_transaction request;
+        request.partition = partition;
+        request.conditions.push_back({std::string(job_table), job.id, 0});
+        request.writes = body_writes;
+        request.writes.push_back(
+            {std::string(job_table), job.id, serving::encode_job(job)});
+        if (most_waiting_tokens > 0)
+        {
+            const std::int64_t waiting =
+                this->waiting_on(partition) + serving::waiting_tokens(job);
+            if (waiting > most_waiting_tokens && !may_exist)
+            {
+                co_return submit_outcome::over_limit;
+            }
+            request.conditions.push_back(
+                {std::string(job_table),
+                 std::string(limit_key),
+                 this->limit_versions[partition]});
+            request.writes.push_back(
+                {std::string(job_table), std::string(limit_key), job.id});
+        }
+        const result<ports::record_outcome> outcome =
+            co_await this->records.transact(std::move(request));
+        const duration spent = read_monotonic_clock() - started;
+        if (outcome && outcome.value().committed)
+        {
+            job.version = outcome.value().version;
+            if (most_waiting_tokens > 0)
+            {
+                std::int64_t& version = this->limit_versions[partition];
+                version = std::max(version, job.version);
+            }
+            this->adopt(partition, std::move(job));
+            if (this->on_change)
+            {
+                this->on_change();
+            }
+            co_return submit_outcome::accepted;
+        }
+        if (outcome)
+        {
+            std::int64_t newest_limit = 0;
+            for (const ports::record& found : outcome.value().conflicts)
+            {
+                if (found.key == limit_key)
+                {
+                    newest_limit = found.version;
+                    continue;
+                }
+                this->take(found);
+            }
+            if (this->find(job.id) != nullptr)
+            {
+                co_return submit_outcome::accepted;
+            }
+            const result<void> current =
+                co_await this->catch_up(partition, newest_limit);
+            if (!current &&
+                read_monotonic_clock() - started > duration(submit_limit))
+            {
+                co_return may_exist ? submit_outcome::unknown
+                                    : submit_outcome::unavailable;
+            }
+            continue;
+        }
+        if (outcome.error().kind == error_kind::outcome_unknown)
+        {
+            may_exist = true;
+        }
+        else if (!may_exist && spent > duration(refused_submit_limit))
+        {
+            co_return submit_outcome::unavailable;
+        }
+        if (spent > duration(submit_limit))
+        {
+            co_return may_exist ? submit_outcome::unknown
+                                : submit_outcome::unavailable;
+        }
+        timer.expires_after(retry_pause);
+        co_await timer.async_wait(as_result);
+    }
+}
+
+asio::awaitable<result<std::string>> job_ledger::find_partition(std::string id)
+{
+    if (const auto found = this->jobs.find(id); found != this->jobs.end())
+    {
+        co_return found->second.partition;
+    }
+    const result<std::vector<std::string>> partitions =
+        co_await this->records.list_partitions(std::string(job_table));
+    if (!partitions)
+    {
+        co_return partitions.error();
+    }
+    for (const std::string& partition : partitions.value())
+    {
+        const result<std::optional<ports::record>> found =
+            co_await this->read_one(partition, std::string(job_table), id);
+        if (!found)
+        {
+            co_return found.error();
+        }
+        if (found.value())
+        {
+            this->take(*found.value());
+            co_return partition;
+        }
+    }
+    co_return make_error(error_kind::not_found, "there is no job " + id);
+}
+
+asio::awaitable<result<serving::job_record>> job_ledger::look_up(std::string id)
+{
+    const result<std::string> partition = co_await this->find_partition(id);
+    if (!partition)
+    {
+        co_return partition.error();
+    }
+    const result<std::optional<ports::record>> found =
+        co_await this->read_one(partition.value(), std::string(job_table), id);
+    if (!found)
+    {
+        co_return found.error();
+    }
+    if (!found.value())
+    {
+        co_return make_error(error_kind::not_found, "there is no job " + id);
+    }
+    this->take(*found.value());
+    const serving::job_record* known = this->find(id);
+    if (known == nullptr)
+    {
+        co_return make_error(
+            error_kind::unavailable, "the record of job " + id + " is damaged");
+    }
+    co_return *known;
+}
+
+asio::awaitable<result<serving::job_record>>
+job_ledger::change(std::string id, change_function wanted, duration limit)
+{
+    const time_point until = read_monotonic_clock() + limit;
+    asio::steady_timer timer(this->context);
+    if (this->find(id) == nullptr)
+    {
+        const result<serving::job_record> found = co_await this->look_up(id);
+        if (!found)
+        {
+            co_return found.error();
+        }
+    }
+    bool may_have_landed = false;
+    while (true)
+    {
+        const auto known = this->jobs.find(id);
+        if (known == this->jobs.end())
+        {
+            co_return make_error(
+                error_kind::not_found, "there is no job " + id);
+        }
+        const serving::job_record before = known->second.record;
+        const std::string partition = known->second.partition;
+        std::optional<job_change> next = wanted(before);
+        if (!next)
+        {
+            co_return before;
+        }
+        ports::record_transaction request;
+        request.partition = partition;
+        request.conditions.push_back(
+            {std::string(job_table), id, before.version});
+        request.writes = std::move(next->writes);
+        request.writes.push_back(
+            {std::string(job_table), id, serving::encode_job(next->record)});
+        const result<ports::record_outcome> outcome =
+            co_await this->records.transact(std::move(request));
+        if (outcome && outcome.value().committed)
+        {
+            next->record.version = outcome.value().version;
+            this->adopt(partition, next->record);
+            if (this->on_change)
+            {
+                this->on_change();
+            }
+            co_return next->record;
+        }
+        if (outcome)
+        {
+            for (const ports::record& found : outcome.value().conflicts)
+            {
+                this->take(found);
+            }
+            if (const serving::job_record* now = this->find(id);
+                now != nullptr && now->version > before.version)
+            {
+                continue;
+            }
+        }
+        may_have_landed =
+            may_have_landed ||
+            (!outcome && outcome.error().kind == error_kind::outcome_unknown);
+        if (read_monotonic_clock() >= until)
+        {
+            co_return make_error(
+                may_have_landed ? error_kind::outcome_unknown
+                                : error_kind::unavailable,
+                "job " + id + ": the store took no change in time");
+        }
+        timer.expires_after(retry_pause);
+        co_await timer.async_wait(as_result);
+        if (may_have_landed)
+        {
+            static_cast<void>(co_await this->look_up(id));
+        }
+    }
+}
+
+std::vector<ports::record_write> job_ledger::make_text_writes(
+    const std::string& id, std::int64_t position, std::string_view text) const
+{
+    std::vector<ports::record_write> writes;
+    while (!text.empty())
+    {
+        const std::string_view part = text.substr(0, this->value_bytes);
+        writes.push_back(
+            {std::string(text_table),
+             make_text_key(id, position, writes.size()),
+             std::string(part)});
+        text.remove_prefix(part.size());
+    }
+    return writes;
+}
+
+void job_ledger::keep_text(
+    const std::string& id, std::int64_t position, std::string text)
+{
+    kept_texts& kept = this->texts[id];
+    if (kept.by_position.contains(position))
+    {
+        return;
+    }
+    kept.bytes += text.size();
+    this->kept_bytes += text.size();
+    kept.by_position[position] = std::move(text);
+    this->drop_texts();
+}
+
+void job_ledger::drop_texts()
+{
+    while (this->kept_bytes > most_kept_bytes && this->texts.size() > 1)
+    {
+        // The job that was accepted first is read least.
+        auto oldest = this->texts.begin();
+        std::int64_t oldest_ms = INT64_MAX;
+        for (auto entry = this->texts.begin(); entry != this->texts.end();
+             ++entry)
+        {
+            const serving::job_record* job = this->find(entry->first);
+            const std::int64_t accepted = job == nullptr ? 0 : job->accepted_ms;
+            if (accepted < oldest_ms)
+            {
+                oldest = entry;
+                oldest_ms = accepted;
+            }
+        }
+        this->kept_bytes -= oldest->second.bytes;
+        this->texts.erase(oldest);
+    }
+}
+
+asio::awaitable<result<std::vector<std::string>>> job_ledger::read_texts(
+    std::string id, std::int64_t from, std::size_t byte_limit)
+{
+    const auto known = this->jobs.find(id);
+    if (known == this->jobs.end())
+    {
+        co_return make_error(error_kind::not_found, "there is no job " + id);
+    }
+    const serving::job_record job = known->second.record;
+    const std::string partition = known->second.partition;
+    std::vector<std::string> found;
+    std::size_t bytes = 0;
+    for (std::size_t position = static_cast<std::size_t>(from);
+         position < job.listed.size();
+         ++position)
+    {
+        const std::int64_t at = static_cast<std::int64_t>(position);
+        const std::int64_t parts = job.listed[position].text_records;
+        if (parts > 0 && !this->texts[id].by_position.contains(at))
+        {
+            ports::record_range range{
+                std::string(text_table),
+                partition,
+                make_text_key(id, at, 0),
+                end_of_keys(id)};
+            const result<ports::record_page> page =
+                co_await this->records.read(std::move(range));
+            if (!page)
+            {
+                co_return page.error();
+            }
+            std::map<std::string, const std::string*> values;
+            for (const ports::record& entry : page.value().records)
+            {
+                values[entry.key] = &entry.value;
+            }
+            // One read brings the texts of many positions.
+            for (std::size_t next = position; next < job.listed.size(); ++next)
+            {
+                std::string text;
+                bool whole = true;
+                for (std::int64_t part = 0;
+                     part < job.listed[next].text_records;
+                     ++part)
+                {
+                    const auto value = values.find(make_text_key(
+                        id,
+                        static_cast<std::int64_t>(next),
+                        static_cast<std::size_t>(part)));
+                    whole = whole && value != values.end();
+                    text += whole ? *value->second : std::string();
+                }
+                if (!whole)
+                {
+                    break;
+                }
+                this->keep_text(
+                    id, static_cast<std::int64_t>(next), std::move(text));
+            }
+        }
+        const kept_texts& kept = this->texts[id];
+        const auto text = kept.by_position.find(at);
+        if (parts > 0 && text == kept.by_position.end())
+        {
+            if (!found.empty())
+            {
+                break;
+            }
+            co_return make_error(
+                error_kind::unavailable,
+                "job " + id + ": expected the text at position " +
+                    std::to_string(position) + ", found none");
+        }
+        const std::size_t size = parts > 0 ? text->second.size() : 0;
+        if (!found.empty() && bytes + size > byte_limit)
+        {
+            break;
+        }
+        bytes += size;
+        found.push_back(parts > 0 ? text->second : std::string());
+    }
+    co_return found;
+}
+
+asio::awaitable<result<std::string>> job_ledger::read_body(std::string id)
+{
+    const auto known = this->jobs.find(id);
+    if (known == this->jobs.end())
+    {
+        co_return make_error(error_kind::not_found, "there is no job " + id);
+    }
+    const std::int64_t parts = known->second.record.body_records;
+    if (parts == 0)
+    {
+        co_return co_await this->objects.get(make_object_name(id));
+    }
+    ports::record_range range{
+        std::string(body_table),
+        known->second.partition,
+        make_body_key(id, 0),
+        end_of_keys(id)};
+    const result<ports::record_page> page =
+        co_await this->records.read(std::move(range));
+    if (!page)
+    {
+        co_return page.error();
+    }
+    if (static_cast<std::int64_t>(page.value().records.size()) != parts)
+    {
+        co_return make_error(
+            error_kind::unavailable,
+            "job " + id + ": expected " + std::to_string(parts) +
+                " records of its submission, found " +
+                std::to_string(page.value().records.size()));
+    }
+    std::string body;
+    for (const ports::record& part : page.value().records)
+    {
+        body += part.value;
+    }
+    co_return body;
+}
+
+asio::awaitable<void> job_ledger::wait_for_results(
+    std::string id, std::size_t count, time_point until)
+{
+    asio::steady_timer timer(this->context);
+    this->waiters[id].insert(&timer);
+    while (read_monotonic_clock() < until)
+    {
+        const serving::job_record* job = this->find(id);
+        if (job == nullptr || job->listed.size() > count)
+        {
+            break;
+        }
+        timer.expires_after(until - read_monotonic_clock());
+        co_await timer.async_wait(as_result);
+    }
+    std::set<asio::steady_timer*>& timers = this->waiters[id];
+    timers.erase(&timer);
+    if (timers.empty())
+    {
+        this->waiters.erase(id);
+    }
+}
+
+} // namespace chicory::node
--- /dev/null
+++ b/servers/node/job_ledger.hpp
@@ -0,0 +1,156 @@
+#ifndef CHICORY_SERVERS_NODE_JOB_LEDGER_HPP
+#define CHICORY_SERVERS_NODE_JOB_LEDGER_HPP
+
+#include "policy/serving/serving.hpp"
+#include "ports/ports.hpp"
+#include "servers/node/table_watch.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chicory::node
+{
+
+/// What a submission came to.
+enum class submit_outcome
+{
+    accepted,
+    /// More tokens would wait than the route allows; nothing was kept.
+    over_limit,
+    /// The store does not take it; nothing was kept and nothing will be.
+    unavailable,
+    /// It may have been kept.
+    unknown,
+};
+
+/// A change of a job: the new record and further records to write with it.
+struct job_change
+{
+    serving::job_record record;
+    std::vector<ports::record_write> writes;
+};
+
+/// Jobs as the store keeps them, with a view of all of them that follows the
+/// store, and the texts that this node has read or written.
+class job_ledger
+{
+public:
+    /// Returns the change to be made to a record, or nothing when none is.
+    using change_function =
+        std::function<std::optional<job_change>(const serving::job_record&)>;
+
+    /// The stores must outlive the ledger. `record_bytes` is the largest
+    /// value of a record.
+    job_ledger(
+        boost::asio::io_context& io,
+        ports::record_store& record_store,
+        ports::object_store& object_store,
+        std::int64_t record_bytes,
+        std::uint64_t seed);
+
+    void start();
+
+    /// Calls the hook after each change of the view.
+    void set_change_hook(std::function<void()> hook);
+
+    /// Keeps a job whose items have these tokens. One that is kept already is
+    /// accepted again.
+    boost::asio::awaitable<submit_outcome> submit(
+        serving::job_record job,
+        std::string body,
+        std::int64_t most_waiting_tokens);
+
+    /// Returns the job in the view, or null.
+    const serving::job_record* find(const std::string& id) const;
+
+    /// Returns all jobs of the view.
+    std::vector<const serving::job_record*> all() const;
+
+    /// Reads a job's record from the store. Errors: not_found when there is
+    /// certainly no such job; unavailable, timeout.
+    boost::asio::awaitable<result<serving::job_record>> look_up(std::string id);
+
+    /// Changes a job's record, again after each conflict, until the function
+    /// wants no change. Returns the record then in force. Errors: not_found,
+    /// unavailable, outcome_unknown.
+    boost::asio::awaitable<result<serving::job_record>>
+    change(std::string id, change_function wanted, duration limit);
+
+    /// Returns the texts of results from a position on, at least one where
+    /// one is listed and about `byte_limit` in all. Errors: unavailable,
+    /// timeout.
+    boost::asio::awaitable<result<std::vector<std::string>>>
+    read_texts(std::string id, std::int64_t from, std::size_t byte_limit);
+
+    /// Returns the submission of a job. Errors: not_found, unavailable.
+    boost::asio::awaitable<result<std::string>> read_body(std::string id);
+
+    /// Makes the records that hold the text of a result.
+    std::vector<ports::record_write> make_text_writes(
+        const std::string& id,
+        std::int64_t position,
+        std::string_view text) const;
+
+    /// Keeps the text of a result for reads on this node.
+    void
+    keep_text(const std::string& id, std::int64_t position, std::string text);
+
+    /// Waits until the job has more results than `count`, or the time is
+    /// over.
+    boost::asio::awaitable<void>
+    wait_for_results(std::string id, std::size_t count, time_point until);
+
+private:
+    struct known_job
+    {
+        serving::job_record record;
+        std::string partition;
+    };
+    struct kept_texts
+    {
+        std::map<std::int64_t, std::string> by_position;
+        std::size_t bytes = 0;
+    };
+
+    void take(const ports::record& changed);
+    void
+    take_all(const std::vector<ports::record>& records, std::int64_t version);
+    void adopt(const std::string& partition, serving::job_record record);
+    void notify(const std::string& id);
+    std::int64_t waiting_on(const std::string& partition) const;
+    std::vector<ports::record_write>
+    make_body_writes(serving::job_record& job, const std::string& body) const;
+    boost::asio::awaitable<result<std::optional<ports::record>>>
+    read_one(std::string partition, std::string table, std::string key);
+    boost::asio::awaitable<result<void>>
+    catch_up(std::string partition, std::int64_t version);
+    boost::asio::awaitable<result<std::string>> find_partition(std::string id);
+    void drop_texts();
+
+    boost::asio::io_context& context;
+    ports::record_store& records;
+    ports::object_store& objects;
+    std::size_t value_bytes;
+    table_watch watch;
+    std::function<void()> on_change;
+    std::map<std::string, known_job> jobs;
+    /// Version of the record that orders acceptances, by partition.
+    std::map<std::string, std::int64_t> limit_versions;
+    std::map<std::string, kept_texts> texts;
+    std::size_t kept_bytes = 0;
+    std::map<std::string, std::set<boost::asio::steady_timer*>> waiters;
+};
+
+} // namespace chicory::node
+
+#endif
--- /dev/null
+++ b/servers/node/job_runner.cpp
@@ -0,0 +1,538 @@
+#include "servers/node/job_runner.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace chicory::node
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds tick_interval(150);
+/// Results that are ready within this time go into one transaction.
+constexpr std::chrono::milliseconds commit_delay(30);
+constexpr std::chrono::milliseconds commit_limit(1500);
+constexpr std::chrono::milliseconds load_retry(200);
+constexpr std::chrono::milliseconds failure_pause(150);
+/// Items of one node that wait for slots or run.
+constexpr std::size_t most_items = 96;
+/// Results and text records in one transaction of the store.
+constexpr std::size_t most_results = 40;
+constexpr std::size_t most_commit_bytes = 500000;
+
+} // namespace
+
+job_runner::job_runner(
+    asio::io_context& io,
+    item_services shared_services,
+    job_ledger& its_ledger,
+    std::string vm_id,
+    std::uint64_t started,
+    nodes_hook live)
+    : context(io), timer(io), services(shared_services), ledger(its_ledger),
+      self(std::move(vm_id)), incarnation(started), live_nodes(std::move(live)),
+      ownership({this->self, started})
+{
+}
+
+void job_runner::start()
+{
+    this->ledger.set_change_hook(
+        [this]
+        {
+            this->schedule();
+        });
+    this->tick();
+}
+
+void job_runner::tick()
+{
+    this->review(read_monotonic_clock());
+    this->timer.expires_after(tick_interval);
+    this->timer.async_wait(
+        [this](boost::system::error_code code)
+        {
+            if (code != asio::error::operation_aborted)
+            {
+                this->tick();
+            }
+        });
+}
+
+void job_runner::schedule()
+{
+    if (this->scheduled)
+    {
+        return;
+    }
+    this->scheduled = true;
+    asio::post(
+        this->context,
+        [this]
+        {
+            this->scheduled = false;
+            this->review(read_monotonic_clock());
+        });
+}
+
+void job_runner::leave()
+{
+    this->leaving = true;
+    for (const auto& [id, job] : this->active)
+    {
+        this->stop(*job);
+    }
+    this->active.clear();
+}
+
+void job_runner::on_accepted(
+    const std::string& job, std::vector<platform::job_item> items)
+{
+    this->accepted_items[job] = std::move(items);
+    this->schedule();
+}
+
+const std::vector<platform::job_item>*
+job_runner::find_items(const std::string& job) const
+{
+    const auto found = this->active.find(job);
+    return found == this->active.end() ? nullptr : &found->second->items;
+}
+
+void job_runner::review(time_point now)
+{
+    if (this->leaving)
+    {
+        return;
+    }
+    const std::vector<serving::live_node> live = this->live_nodes();
+    for (const serving::job_record* job : this->ledger.all())
+    {
+        if (!serving::is_open(*job))
+        {
+            this->ownership.forget(job->id);
+            continue;
+        }
+        if (this->ownership.owns(*job))
+        {
+            this->review_owned(*job);
+        }
+        else if (
+            !this->busy.contains(job->id) &&
+            this->ownership.should_take_over(now, *job, live))
+        {
+            this->busy.insert(job->id);
+            asio::co_spawn(
+                this->context, this->take_over(job->id), asio::detached);
+        }
+    }
+    for (auto entry = this->active.begin(); entry != this->active.end();)
+    {
+        const serving::job_record* job = this->ledger.find(entry->first);
+        if (job != nullptr && serving::is_open(*job) &&
+            this->ownership.owns(*job))
+        {
+            this->launch(entry->second);
+            ++entry;
+            continue;
+        }
+        this->stop(*entry->second);
+        entry = this->active.erase(entry);
+    }
+}
+
+void job_runner::review_owned(const serving::job_record& job)
+{
+    if (this->active.contains(job.id) || this->busy.contains(job.id))
+    {
+        return;
+    }
+    this->busy.insert(job.id);
+    asio::co_spawn(this->context, this->load(job.id), asio::detached);
+}
+
+void job_runner::stop(active_job& job)
+{
+    job.stopped = true;
+    for (const auto& [item, run] : job.runs)
+    {
+        run->stop();
+    }
+}
+
+asio::awaitable<void> job_runner::take_over(std::string id)
+{
+    const std::string previous = this->ledger.find(id) == nullptr
+                                     ? std::string()
+                                     : this->ledger.find(id)->owner;
+    // GCC 12 destroys a lambda twice that is made within a co_await.
+    job_ledger::change_function take =
+        [this, previous](
+            const serving::job_record& record) -> std::optional<job_change>
+    {
+        if (this->ownership.owns(record) || record.owner != previous ||
+            !serving::is_open(record))
+        {
+            return std::nullopt;
+        }
+        job_change wanted{record, {}};
+        wanted.record.owner = this->self;
+        wanted.record.owner_incarnation = this->incarnation;
+        return wanted;
+    };
+    const result<serving::job_record> changed =
+        co_await this->ledger.change(id, std::move(take), commit_limit);
+    this->busy.erase(id);
+    if (changed && this->ownership.owns(changed.value()))
+    {
+        log_event(event::job_taken_over, {{"job", id}, {"previous", previous}});
+        this->services.numbers.add("jobs_taken_over_total");
+    }
+    this->schedule();
+}
+
+asio::awaitable<void> job_runner::load(std::string id)
+{
+    std::vector<platform::job_item> items;
+    if (const auto kept = this->accepted_items.find(id);
+        kept != this->accepted_items.end())
+    {
+        items = std::move(kept->second);
+        this->accepted_items.erase(kept);
+    }
+    else
+    {
+        const result<std::string> body = co_await this->ledger.read_body(id);
+        if (body)
+        {
+            result<std::vector<platform::job_item>> read =
+                platform::read_submission(body.value());
+            if (read)
+            {
+                items = std::move(read.value());
+            }
+        }
+        if (items.empty())
+        {
+            log_event(
+                event::commit_deferred,
+                {{"job", id},
+                 {"error",
+                  body ? "the submission cannot be read" : body.error().text}});
+            asio::steady_timer pause(this->context);
+            pause.expires_after(load_retry);
+            co_await pause.async_wait(as_result);
+            this->busy.erase(id);
+            co_return;
+        }
+    }
+    this->busy.erase(id);
+    const serving::job_record* record = this->ledger.find(id);
+    if (record == nullptr || !this->ownership.owns(*record) || this->leaving)
+    {
+        co_return;
+    }
+    const auto job = std::make_shared<active_job>();
+    job->id = id;
+    job->items = std::move(items);
+    job->failures = record->failures;
+    this->active[id] = job;
+    this->schedule();
+}
+
+bool job_runner::is_route_gone(const serving::job_record& job) const
+{
+    const auto configuration = this->services.knowledge.configuration();
+    return configuration != nullptr &&
+           serving::find_route_by_name(*configuration, job.route) == nullptr;
+}
+
+void job_runner::give_up_old(active_job& job, const serving::job_record& record)
+{
+    const auto configuration = this->services.knowledge.configuration();
+    if (configuration == nullptr)
+    {
+        return;
+    }
+    const serving::serving_route* route =
+        serving::find_route_by_name(*configuration, record.route);
+    const std::int64_t age_ms = read_wall_clock_ms() - record.accepted_ms;
+    const bool over = route == nullptr ||
+                      std::chrono::milliseconds(age_ms) > route->retention;
+    if (!over)
+    {
+        return;
+    }
+    for (const std::int64_t item : serving::unlisted_items(record))
+    {
+        const auto run = job.runs.find(item);
+        if (run != job.runs.end())
+        {
+            run->second->stop();
+        }
+        const bool known = std::any_of(
+            job.finished.begin(),
+            job.finished.end(),
+            [item](const finished_item& entry)
+            {
+                return entry.item == item;
+            });
+        if (!known)
+        {
+            job.finished.push_back({item, serving::item_state::errored, ""});
+        }
+    }
+}
+
+void job_runner::launch(const std::shared_ptr<active_job>& job)
+{
+    const serving::job_record* record = this->ledger.find(job->id);
+    this->give_up_old(*job, *record);
+    if (!job->finished.empty())
+    {
+        this->request_commit(job);
+    }
+    std::size_t running = 0;
+    for (const auto& [id, other] : this->active)
+    {
+        running += other->runs.size();
+    }
+    for (const std::int64_t item : serving::unlisted_items(*record))
+    {
+        if (running >= most_items)
+        {
+            return;
+        }
+        const bool finished = std::any_of(
+            job->finished.begin(),
+            job->finished.end(),
+            [item](const finished_item& entry)
+            {
+                return entry.item == item;
+            });
+        if (finished || job->runs.contains(item))
+        {
+            continue;
+        }
+        const std::shared_ptr<const serving::serving_configuration>
+            configuration = this->services.knowledge.configuration();
+        const serving::serving_route* route =
+            configuration == nullptr
+                ? nullptr
+                : serving::find_route_by_name(*configuration, record->route);
+        if (route == nullptr)
+        {
+            return;
+        }
+        const duration age = std::chrono::milliseconds(
+            read_wall_clock_ms() - record->accepted_ms);
+        const time_point accepted = read_monotonic_clock() - age;
+        job->runs[item] = std::make_shared<item_run>(
+            this->context,
+            this->services,
+            job->items.at(static_cast<std::size_t>(item)),
+            job->id,
+            record->route,
+            accepted + route->completion_target,
+            accepted + route->retention);
+        asio::co_spawn(
+            this->context, this->run_item(job, item), asio::detached);
+        ++running;
+    }
+}
+
+asio::awaitable<void>
+job_runner::run_item(std::shared_ptr<active_job> job, std::int64_t item)
+{
+    const std::shared_ptr<item_run> run = job->runs.at(item);
+    while (true)
+    {
+        const item_end end = co_await run->work();
+        if (end == item_end::stopped || job->stopped)
+        {
+            break;
+        }
+        if (end == item_end::completed)
+        {
+            job->finished.push_back(
+                {item, serving::item_state::completed, run->progress().text()});
+            break;
+        }
+        serving::item_failures& counts = job->failures[item];
+        (end == item_end::failed ? counts.failed : counts.impossible) += 1;
+        job->failures_changed = true;
+        const auto configuration = this->services.knowledge.configuration();
+        const serving::job_record* record = this->ledger.find(job->id);
+        const serving::serving_route* route =
+            configuration == nullptr || record == nullptr
+                ? nullptr
+                : serving::find_route_by_name(*configuration, record->route);
+        const std::int64_t most = route == nullptr ? 1 : route->max_attempts;
+        if (route != nullptr && serving::judge_failures(counts, most) ==
+                                    serving::failure_verdict::give_up)
+        {
+            log_event(
+                event::item_failed,
+                {{"job", job->id},
+                 {"item", job->items.at(static_cast<std::size_t>(item)).id},
+                 {"failed", counts.failed},
+                 {"impossible", counts.impossible}});
+            job->finished.push_back({item, serving::item_state::errored, ""});
+            break;
+        }
+        this->request_commit(job);
+        asio::steady_timer pause(this->context);
+        pause.expires_after(failure_pause);
+        co_await pause.async_wait(as_result);
+    }
+    job->runs.erase(item);
+    if (!job->stopped)
+    {
+        log_event(
+            event::item_finished,
+            {{"job", job->id},
+             {"item", job->items.at(static_cast<std::size_t>(item)).id},
+             {"events", run->progress().events()}});
+        this->request_commit(job);
+        this->schedule();
+    }
+}
+
+void job_runner::request_commit(const std::shared_ptr<active_job>& job)
+{
+    if (!job->committing && !job->stopped)
+    {
+        job->committing = true;
+        asio::co_spawn(this->context, this->commit(job), asio::detached);
+    }
+}
+
+std::optional<job_change> job_runner::make_change(
+    const active_job& job, const serving::job_record& record) const
+{
+    if (!this->ownership.owns(record) || record.ended)
+    {
+        return std::nullopt;
+    }
+    job_change wanted{record, {}};
+    bool changed = false;
+    for (const auto& [item, counts] : job.failures)
+    {
+        serving::item_failures& kept = wanted.record.failures[item];
+        const serving::item_failures before = kept;
+        // Counts of this node include those that it found, so that a change
+        // that is made twice counts once.
+        kept.failed = std::max(kept.failed, counts.failed);
+        kept.impossible = std::max(kept.impossible, counts.impossible);
+        changed = changed || kept != before;
+    }
+    std::size_t bytes = 0;
+    std::size_t results = 0;
+    for (const finished_item& entry : job.finished)
+    {
+        if (serving::is_listed(wanted.record, entry.item))
+        {
+            continue;
+        }
+        if (results >= most_results ||
+            (results > 0 && bytes + entry.text.size() > most_commit_bytes))
+        {
+            break;
+        }
+        const std::int64_t position =
+            static_cast<std::int64_t>(wanted.record.listed.size());
+        std::vector<ports::record_write> writes =
+            this->ledger.make_text_writes(job.id, position, entry.text);
+        wanted.record.listed.push_back(
+            {entry.item,
+             entry.state,
+             static_cast<std::int64_t>(writes.size())});
+        std::move(
+            writes.begin(), writes.end(), std::back_inserter(wanted.writes));
+        bytes += entry.text.size();
+        ++results;
+        changed = true;
+    }
+    if (!changed)
+    {
+        return std::nullopt;
+    }
+    return wanted;
+}
+
+asio::awaitable<void> job_runner::commit(std::shared_ptr<active_job> job)
+{
+    asio::steady_timer pause(this->context);
+    pause.expires_after(commit_delay);
+    co_await pause.async_wait(as_result);
+    while (!job->stopped && (!job->finished.empty() || job->failures_changed))
+    {
+        job->failures_changed = false;
+        job_ledger::change_function list =
+            [this, job](const serving::job_record& record)
+        {
+            return this->make_change(*job, record);
+        };
+        const result<serving::job_record> changed =
+            co_await this->ledger.change(
+                job->id, std::move(list), commit_limit);
+        if (!changed)
+        {
+            job->failures_changed = true;
+            log_event(
+                event::commit_deferred,
+                {{"job", job->id}, {"error", changed.error().text}});
+            pause.expires_after(load_retry);
+            co_await pause.async_wait(as_result);
+            continue;
+        }
+        const serving::job_record& record = changed.value();
+        for (std::size_t at = 0; at < record.listed.size(); ++at)
+        {
+            const auto entry = std::find_if(
+                job->finished.begin(),
+                job->finished.end(),
+                [&](const finished_item& candidate)
+                {
+                    return candidate.item == record.listed[at].item;
+                });
+            if (entry == job->finished.end())
+            {
+                continue;
+            }
+            // Another node may have listed the item with a text of its own;
+            // it is read from the store then.
+            if (this->ownership.owns(record))
+            {
+                this->ledger.keep_text(
+                    job->id,
+                    static_cast<std::int64_t>(at),
+                    std::move(entry->text));
+            }
+            job->finished.erase(entry);
+        }
+        if (!this->ownership.owns(record) || record.ended)
+        {
+            break;
+        }
+    }
+    job->committing = false;
+    if (!serving::is_open(*this->ledger.find(job->id)))
+    {
+        log_event(event::job_completed, {{"job", job->id}});
+    }
+    this->schedule();
+}
+
+} // namespace chicory::node
--- /dev/null
+++ b/servers/node/job_runner.hpp
@@ -0,0 +1,109 @@
+#ifndef CHICORY_SERVERS_NODE_JOB_RUNNER_HPP
+#define CHICORY_SERVERS_NODE_JOB_RUNNER_HPP
+
+#include "servers/node/item_run.hpp"
+#include "servers/node/job_ledger.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chicory::node
+{
+
+/// Runs the items of the jobs that this node owns, commits their results, and
+/// takes over jobs whose owners are gone.
+class job_runner
+{
+public:
+    /// Tells the nodes that take work.
+    using nodes_hook = std::function<std::vector<serving::live_node>()>;
+
+    job_runner(
+        boost::asio::io_context& io,
+        item_services shared_services,
+        job_ledger& its_ledger,
+        std::string vm_id,
+        std::uint64_t started,
+        nodes_hook live);
+
+    void start();
+
+    /// Ends all work, so that other nodes take it over.
+    void leave();
+
+    /// Keeps the items of a job that this node has just accepted.
+    void
+    on_accepted(const std::string& job, std::vector<platform::job_item> items);
+
+    /// Returns the items of a job that runs here, or null.
+    const std::vector<platform::job_item>*
+    find_items(const std::string& job) const;
+
+private:
+    struct finished_item
+    {
+        std::int64_t item = 0;
+        serving::item_state state = serving::item_state::completed;
+        std::string text;
+    };
+    struct active_job
+    {
+        std::string id;
+        std::vector<platform::job_item> items;
+        std::map<std::int64_t, std::shared_ptr<item_run>> runs;
+        /// Failures of items, those before this node took the job included.
+        std::map<std::int64_t, serving::item_failures> failures;
+        std::vector<finished_item> finished;
+        bool failures_changed = false;
+        bool committing = false;
+        bool stopped = false;
+    };
+
+    void schedule();
+    void tick();
+    void review(time_point now);
+    void review_owned(const serving::job_record& job);
+    bool should_take_over(
+        const serving::job_record& job, const std::vector<std::string>& live);
+    bool owns(const serving::job_record& job) const;
+    void stop(active_job& job);
+    void launch(const std::shared_ptr<active_job>& job);
+    bool is_route_gone(const serving::job_record& job) const;
+    boost::asio::awaitable<void> take_over(std::string id);
+    boost::asio::awaitable<void> load(std::string id);
+    boost::asio::awaitable<void>
+    run_item(std::shared_ptr<active_job> job, std::int64_t item);
+    boost::asio::awaitable<void> commit(std::shared_ptr<active_job> job);
+    std::optional<job_change>
+    make_change(const active_job& job, const serving::job_record& record) const;
+    void give_up_old(active_job& job, const serving::job_record& record);
+    void request_commit(const std::shared_ptr<active_job>& job);
+
+    boost::asio::io_context& context;
+    boost::asio::steady_timer timer;
+    item_services services;
+    job_ledger& ledger;
+    std::string self;
+    std::uint64_t incarnation;
+    nodes_hook live_nodes;
+    std::map<std::string, std::shared_ptr<active_job>> active;
+    std::map<std::string, std::vector<platform::job_item>> accepted_items;
+    /// Jobs that are being loaded or taken over.
+    std::set<std::string> busy;
+    serving::job_ownership ownership;
+    bool leaving = false;
+    bool scheduled = false;
+};
+
+} // namespace chicory::node
+
+#endif
--- /dev/null
+++ b/servers/node/node_members.cpp
@@ -0,0 +1,239 @@
+#include "servers/node/node_members.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace chicory::node
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+constexpr std::string_view node_table = "nodes";
+/// Time between two reads of the registered nodes: gossip spreads what is
+/// new, so that the reads only join groups that know nothing of each other.
+constexpr std::chrono::seconds read_interval(5);
+constexpr std::chrono::milliseconds retry_interval(300);
+
+membership::vm make_self(const node_settings& settings, std::uint64_t started)
+{
+    membership::vm vm;
+    vm.id = settings.vm_id;
+    vm.role = membership::vm_role::entry;
+    vm.state = membership::vm_state::alive;
+    vm.incarnation = started;
+    vm.region = settings.region;
+    vm.zone = settings.zone;
+    vm.address = settings.address;
+    vm.http_port = settings.requests.port;
+    vm.link_port = settings.slot_port;
+    vm.batch_port = settings.peer_port;
+    vm.gossip_port = settings.gossip_port;
+    return vm;
+}
+
+std::string to_text(const membership::vm& vm)
+{
+    return json::serialize(json::object{
+        {"incarnation", vm.incarnation},
+        {"region", vm.region},
+        {"zone", vm.zone},
+        {"address", vm.address},
+        {"http_port", vm.http_port},
+        {"slot_port", vm.link_port},
+        {"peer_port", vm.batch_port},
+        {"gossip_port", vm.gossip_port}});
+}
+
+/// Reads a node's record; nothing when it cannot be read.
+std::optional<membership::vm> read_vm(const ports::record& source)
+{
+    boost::system::error_code code;
+    const json::value parsed = json::parse(source.value, code);
+    if (code)
+    {
+        return std::nullopt;
+    }
+    try
+    {
+        const json::object& fields = parsed.as_object();
+        membership::vm vm;
+        vm.id = source.key;
+        vm.incarnation = fields.at("incarnation").to_number<std::uint64_t>();
+        vm.region = fields.at("region").as_string();
+        vm.zone = fields.at("zone").as_string();
+        vm.address = fields.at("address").as_string();
+        vm.http_port = fields.at("http_port").to_number<std::uint16_t>();
+        vm.link_port = fields.at("slot_port").to_number<std::uint16_t>();
+        vm.batch_port = fields.at("peer_port").to_number<std::uint16_t>();
+        vm.gossip_port = fields.at("gossip_port").to_number<std::uint16_t>();
+        return vm;
+    }
+    catch (const std::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+node_members::node_members(
+    asio::io_context& io,
+    const node_settings& source,
+    ports::record_store& records,
+    metrics& numbers,
+    std::uint64_t started,
+    std::function<void()> on_change)
+    : context(io), settings(source), store(records),
+      self(make_self(source, started)),
+      gossip(io, this->self, numbers, std::move(on_change))
+{
+}
+
+result<void> node_members::start()
+{
+    const result<void> bound = this->gossip.start(
+        {this->settings.address, this->settings.gossip_port});
+    if (!bound)
+    {
+        return bound;
+    }
+    asio::co_spawn(this->context, this->keep_registered(), asio::detached);
+    return boost::outcome_v2::success();
+}
+
+void node_members::hear_of(const membership::vm& other)
+{
+    if (other.id == this->self.id)
+    {
+        return;
+    }
+    membership::rumor heard;
+    heard.id = other.id;
+    heard.what.incarnation = other.incarnation;
+    heard.what.state = membership::vm_state::alive;
+    heard.details = other;
+    this->gossip.on_rumor(heard);
+}
+
+asio::awaitable<bool> node_members::register_self()
+{
+    ports::record_transaction request;
+    request.writes.push_back(
+        {std::string(node_table), this->self.id, to_text(this->self)});
+    const result<ports::record_outcome> written =
+        co_await this->store.transact(std::move(request));
+    co_return written.has_value();
+}
+
+asio::awaitable<bool> node_members::read_others()
+{
+    ports::record_range range{std::string(node_table), "", "", ""};
+    while (true)
+    {
+        const result<ports::record_page> page =
+            co_await this->store.read(range);
+        if (!page)
+        {
+            co_return false;
+        }
+        for (const ports::record& found : page.value().records)
+        {
+            if (const std::optional<membership::vm> vm = read_vm(found))
+            {
+                this->hear_of(*vm);
+            }
+        }
+        if (!page.value().has_more || page.value().records.empty())
+        {
+            co_return true;
+        }
+        range.from = page.value().records.back().key + '\0';
+    }
+}
+
+asio::awaitable<void> node_members::keep_registered()
+{
+    asio::steady_timer timer(this->context);
+    bool registered = false;
+    while (true)
+    {
+        if (!registered)
+        {
+            registered = co_await this->register_self();
+        }
+        const bool complete = co_await this->read_others();
+        timer.expires_after(
+            registered && complete ? duration(read_interval)
+                                   : duration(retry_interval));
+        co_await timer.async_wait(as_result);
+    }
+}
+
+void node_members::leave()
+{
+    this->leaving = true;
+    this->gossip.leave();
+}
+
+void node_members::set_revision(std::int64_t revision)
+{
+    this->gossip.set_revision(revision);
+}
+
+std::int64_t node_members::highest_revision() const
+{
+    return this->gossip.state().highest_revision();
+}
+
+std::vector<serving::live_node> node_members::live_nodes() const
+{
+    std::vector<serving::live_node> live;
+    for (const auto& [id, record] : this->gossip.state().table().records())
+    {
+        const membership::vm_state state = record.what.state;
+        if (record.details.role == membership::vm_role::entry &&
+            id != this->self.id && state == membership::vm_state::alive)
+        {
+            live.push_back({id, record.what.incarnation});
+        }
+    }
+    if (!this->leaving)
+    {
+        live.push_back({this->self.id, this->self.incarnation});
+    }
+    return live;
+}
+
+std::optional<membership::vm> node_members::find(const std::string& vm_id) const
+{
+    if (vm_id == this->self.id)
+    {
+        return this->self;
+    }
+    const membership::member_record* record =
+        this->gossip.state().table().find(vm_id);
+    if (record == nullptr)
+    {
+        return std::nullopt;
+    }
+    return record->details;
+}
+
+membership::fleet_view node_members::view() const
+{
+    return this->gossip.state().view();
+}
+
+} // namespace chicory::node
--- /dev/null
+++ b/servers/node/node_members.hpp
@@ -0,0 +1,68 @@
+#ifndef CHICORY_SERVERS_NODE_NODE_MEMBERS_HPP
+#define CHICORY_SERVERS_NODE_NODE_MEMBERS_HPP
+
+#include "policy/serving/serving.hpp"
+#include "ports/ports.hpp"
+#include "servers/fleet/fleet.hpp"
+#include "servers/node/node_settings.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chicory::node
+{
+
+/// The nodes of the fleet: gossip among them, and a record of each in the
+/// store, by which a node that starts finds the others.
+class node_members
+{
+public:
+    node_members(
+        boost::asio::io_context& io,
+        const node_settings& source,
+        ports::record_store& records,
+        metrics& numbers,
+        std::uint64_t started,
+        std::function<void()> on_change);
+
+    /// Error: unavailable when the port cannot be bound.
+    result<void> start();
+
+    /// Announces that this node is leaving.
+    void leave();
+
+    void set_revision(std::int64_t revision);
+    std::int64_t highest_revision() const;
+
+    /// Returns the entry VMs that take work, this one included unless it is
+    /// leaving.
+    std::vector<serving::live_node> live_nodes() const;
+
+    /// Returns what is known of a node, or nothing.
+    std::optional<membership::vm> find(const std::string& vm_id) const;
+
+    membership::fleet_view view() const;
+
+private:
+    boost::asio::awaitable<void> keep_registered();
+    boost::asio::awaitable<bool> register_self();
+    boost::asio::awaitable<bool> read_others();
+    void hear_of(const membership::vm& other);
+
+    boost::asio::io_context& context;
+    const node_settings& settings;
+    ports::record_store& store;
+    membership::vm self;
+    fleet::gossip_service gossip;
+    bool leaving = false;
+};
+
+} // namespace chicory::node
+
+#endif
--- /dev/null
+++ b/servers/node/node_process.cpp
@@ -0,0 +1,561 @@
+#include "servers/node/node_process.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <utility>
+
+namespace chicory::node
+{
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+namespace
+{
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+constexpr int status_not_found = 404;
+constexpr int status_too_large = 413;
+constexpr int status_unavailable = 503;
+constexpr std::size_t largest_datagram = 65536;
+/// Time to come back to a node that knows no configuration yet.
+constexpr std::chrono::milliseconds no_configuration_retry(500);
+/// Time for which a stopping node still takes new requests, while callers
+/// learn that it is leaving.
+constexpr std::chrono::milliseconds announce_time(2500);
+constexpr std::chrono::milliseconds drain_poll(50);
+/// Part of the grace that is kept back for the end of the process.
+constexpr std::chrono::milliseconds drain_reserve(400);
+/// Entry addresses in one answer.
+constexpr std::size_t entry_addresses = 8;
+
+net::http_response make_text(int status, std::string text)
+{
+    net::http_response response;
+    response.status = status;
+    response.headers["content-type"] = "text/plain";
+    response.body = std::move(text);
+    return response;
+}
+
+net::http_server_limits make_limits(const serving::caller_limits& source)
+{
+    net::http_server_limits limits;
+    limits.header_bytes = static_cast<std::uint32_t>(source.header_bytes);
+    limits.idle = source.idle_time;
+    limits.header = source.header_time;
+    return limits;
+}
+
+} // namespace
+
+node_process::node_process(asio::io_context& io, node_settings source)
+    : context(io), settings(std::move(source)),
+      incarnation(static_cast<std::uint64_t>(read_wall_clock_ms())),
+      store(io.get_executor(), {this->settings.store}),
+      knowledge(
+          io,
+          this->store,
+          [this](const serving::serving_configuration& configuration)
+          {
+              this->on_adopted(configuration);
+          },
+          this->incarnation),
+      members(
+          io,
+          this->settings,
+          this->store,
+          this->numbers,
+          this->incarnation,
+          [this]
+          {
+              this->on_members_changed();
+          }),
+      slot_socket(io),
+      coordinator(
+          io,
+          this->knowledge,
+          [this](const std::string& node, const wire::slot_packet& packet)
+          {
+              this->send_slot_packet(node, packet);
+          }),
+      slots(
+          io,
+          this->knowledge,
+          this->settings.vm_id,
+          this->settings.zone,
+          this->incarnation,
+          {[this](const std::string& node, const wire::slot_packet& packet)
+           {
+               this->send_slot_packet(node, packet);
+           },
+           [this]
+           {
+               std::vector<std::string> names;
+               for (const serving::live_node& node : this->members.live_nodes())
+               {
+                   names.push_back(node.id);
+               }
+               return names;
+           }}),
+      runners(io.get_executor(), this->knowledge),
+      jobs(
+          io,
+          this->store,
+          this->store,
+          this->settings.record_bytes,
+          this->incarnation + 2),
+      job_work(
+          io,
+          {this->knowledge, this->slots, this->runners, this->numbers},
+          this->jobs,
+          this->settings.vm_id,
+          this->incarnation,
+          [this]
+          {
+              return this->members.live_nodes();
+          }),
+      job_calls(
+          this->jobs,
+          this->job_work,
+          this->numbers,
+          this->settings.vm_id,
+          this->incarnation),
+      caller_server(
+          io.get_executor(),
+          [this](net::http_exchange& exchange)
+          {
+              return this->serve_caller(exchange);
+          }),
+      readiness_server(
+          io.get_executor(),
+          [this](net::http_exchange& exchange)
+          {
+              return this->serve_readiness(exchange);
+          }),
+      entry_server(
+          io.get_executor(),
+          [this](net::http_exchange& exchange)
+          {
+              return this->serve_entry_addresses(exchange);
+          }),
+      peer_server(
+          io.get_executor(),
+          [this](net::http_exchange& exchange)
+          {
+              return this->serve_peer(exchange);
+          }),
+      metrics_server(
+          io.get_executor(),
+          [this](net::http_exchange& exchange)
+          {
+              return this->serve_metrics(exchange);
+          }),
+      life(
+          {[this]
+           {
+               this->announce();
+           },
+           [this]
+           {
+               this->drain();
+           },
+           [this]
+           {
+               log_event(event::process_stopped);
+               this->context.stop();
+           },
+           [this]
+           {
+               const std::size_t open = this->caller_server.in_progress();
+               return open == 0
+                          ? std::string()
+                          : std::to_string(open) + " requests in progress";
+           }}),
+      signals(io, this->life), reload_signals(io, SIGHUP), drain_timer(io)
+{
+}
+
+result<void> node_process::start()
+{
+    const std::array<std::pair<net::http_server*, net::endpoint>, 4> servers = {
+        {{&this->caller_server, this->settings.requests},
+         {&this->readiness_server, this->settings.readiness},
+         {&this->entry_server, this->settings.entry_addresses},
+         {&this->peer_server,
+          {this->settings.address, this->settings.peer_port}}}};
+    for (const auto& [server, address] : servers)
+    {
+        if (const result<void> bound = server->listen(address); !bound)
+        {
+            return bound;
+        }
+    }
+    if (this->settings.metrics_port != 0)
+    {
+        const result<void> bound = this->metrics_server.listen(
+            {this->settings.address, this->settings.metrics_port});
+        if (!bound)
+        {
+            return bound;
+        }
+    }
+    boost::system::error_code code;
+    const udp::endpoint local(
+        asio::ip::make_address(this->settings.address, code),
+        this->settings.slot_port);
+    this->slot_socket.open(local.protocol(), code);
+    if (!code)
+    {
+        this->slot_socket.bind(local, code);
+    }
+    if (code)
+    {
+        return make_error(
+            error_kind::unavailable,
+            "UDP " + this->settings.address + ":" +
+                std::to_string(this->settings.slot_port) + ": " +
+                code.message());
+    }
+    this->slot_socket.non_blocking(true);
+    asio::co_spawn(this->context, this->receive_slots(), asio::detached);
+    if (const result<void> joined = this->members.start(); !joined)
+    {
+        return joined;
+    }
+    this->knowledge.start();
+    this->coordinator.start();
+    this->slots.start();
+    this->jobs.start();
+    this->job_work.start();
+    this->await_reload();
+    this->life.on_started();
+    log_event(
+        event::process_started,
+        {{"version", CHICORY_VERSION},
+         {"zone", this->settings.zone},
+         {"incarnation", this->incarnation}});
+    return boost::outcome_v2::success();
+}
+
+void node_process::await_reload()
+{
+    this->reload_signals.async_wait(
+        [this](boost::system::error_code code, int)
+        {
+            if (code)
+            {
+                return;
+            }
+            log_event(event::settings_reloaded);
+            this->await_reload();
+        });
+}
+
+void node_process::on_adopted(
+    const serving::serving_configuration& configuration)
+{
+    this->members.set_revision(configuration.version);
+    this->caller_server.set_limits(make_limits(configuration.limits));
+}
+
+void node_process::on_members_changed()
+{
+    this->numbers.set(
+        "live_nodes",
+        static_cast<std::int64_t>(this->members.live_nodes().size()));
+}
+
+bool node_process::is_ready() const
+{
+    return this->life.state() == life_state::serving &&
+           this->knowledge.configuration() != nullptr;
+}
+
+asio::awaitable<void>
+node_process::serve_readiness(net::http_exchange& exchange)
+{
+    if (platform::path_of(exchange.head().target) != platform::readiness_path)
+    {
+        co_await exchange.respond(make_text(status_not_found, "not found"));
+        co_return;
+    }
+    const bool ready = this->is_ready();
+    co_await exchange.respond(make_text(
+        ready ? 200 : status_unavailable, ready ? "ready" : "not ready"));
+}
+
+asio::awaitable<void>
+node_process::serve_entry_addresses(net::http_exchange& exchange)
+{
+    const std::string& target = exchange.head().target;
+    if (platform::path_of(target) != platform::entry_addresses_path)
+    {
+        co_await exchange.respond(make_text(status_not_found, "not found"));
+        co_return;
+    }
+    const platform::entry_question question =
+        platform::read_entry_question(target);
+    membership::entrypoint_settings choice;
+    choice.count = entry_addresses;
+    choice.time_to_live = this->settings.entry_time_to_live;
+    const membership::entrypoint_answer chosen = membership::choose_entrypoints(
+        this->members.view(),
+        question.region,
+        question.zone,
+        question.host,
+        choice);
+    std::vector<net::endpoint> addresses;
+    for (const membership::entrypoint& entry : chosen.addresses)
+    {
+        addresses.push_back({entry.address, entry.port});
+    }
+    if (addresses.empty())
+    {
+        addresses.push_back(this->settings.requests);
+    }
+    co_await exchange.respond(
+        platform::make_entry_answer(addresses, chosen.time_to_live));
+}
+
+asio::awaitable<void> node_process::serve_peer(net::http_exchange& exchange)
+{
+    if (exchange.head().target == "/configuration" &&
+        this->knowledge.configuration() != nullptr)
+    {
+        net::http_response response;
+        response.headers["content-type"] = "application/json";
+        response.body = this->knowledge.configuration_text();
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    co_await exchange.respond(make_text(status_not_found, "not found"));
+}
+
+asio::awaitable<void> node_process::serve_metrics(net::http_exchange& exchange)
+{
+    this->numbers.set(
+        "requests_in_progress",
+        static_cast<std::int64_t>(this->caller_server.in_progress()));
+    this->numbers.set(
+        "slots_in_use", static_cast<std::int64_t>(this->slots.in_use()));
+    net::http_response response;
+    response.headers["content-type"] = "text/plain; version=0.0.4";
+    response.body = this->numbers.render();
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<void> node_process::serve_caller(net::http_exchange& exchange)
+{
+    const time_point arrived = read_monotonic_clock();
+    const std::shared_ptr<const serving::serving_configuration> configuration =
+        this->knowledge.configuration();
+    if (configuration == nullptr)
+    {
+        this->numbers.count_refusal(reason::no_configuration);
+        co_await exchange.respond(platform::make_refusal(
+            no_configuration_retry, name_of(reason::no_configuration)));
+        co_return;
+    }
+    if (const std::optional<platform::job_call> call = platform::find_job_call(
+            exchange.head().method, exchange.head().target))
+    {
+        co_await this->job_calls.answer(exchange, *call);
+        co_return;
+    }
+    const platform::caller_terms terms =
+        platform::read_caller_terms(exchange.head().headers);
+    const serving::serving_route* route = serving::find_route(
+        *configuration, terms.host, platform::path_of(exchange.head().target));
+    if (route == nullptr)
+    {
+        this->numbers.count_refusal(reason::unknown_route);
+        log_event(
+            event::request_refused,
+            {{"request", terms.attempt_id},
+             {"reason", std::string(name_of(reason::unknown_route))},
+             {"revision", configuration->version}});
+        co_await exchange.respond(
+            make_text(status_not_found, "no route for this host and path"));
+        co_return;
+    }
+    if (route->kind == serving::route_kind::batch)
+    {
+        co_await this->serve_submission(exchange, configuration, *route);
+        co_return;
+    }
+    co_await this->serve_online(exchange, configuration, *route, arrived);
+}
+
+asio::awaitable<void> node_process::serve_submission(
+    net::http_exchange& exchange,
+    std::shared_ptr<const serving::serving_configuration> configuration,
+    const serving::serving_route& route)
+{
+    result<std::string> body = co_await exchange.read_body(
+        static_cast<std::size_t>(configuration->limits.body_bytes));
+    if (!body)
+    {
+        if (body.error().kind == error_kind::invalid_input)
+        {
+            co_await exchange.respond(
+                make_text(status_too_large, body.error().text));
+        }
+        co_return;
+    }
+    co_await this->job_calls.submit(exchange, route, std::move(body.value()));
+}
+
+asio::awaitable<void> node_process::serve_online(
+    net::http_exchange& exchange,
+    std::shared_ptr<const serving::serving_configuration> configuration,
+    const serving::serving_route& route,
+    time_point arrived)
+{
+    result<std::string> body = co_await exchange.read_body(
+        static_cast<std::size_t>(configuration->limits.body_bytes));
+    if (!body)
+    {
+        if (body.error().kind == error_kind::invalid_input)
+        {
+            this->numbers.count_refusal(reason::body_too_large);
+            co_await exchange.respond(
+                make_text(status_too_large, body.error().text));
+        }
+        co_return;
+    }
+    const auto call = std::make_shared<online_call>(
+        this->context,
+        online_services{
+            this->knowledge, this->slots, this->runners, this->numbers},
+        std::move(configuration),
+        route,
+        exchange,
+        std::move(body.value()),
+        arrived);
+    co_await call->run();
+}
+
+void node_process::send_slot_packet(
+    const std::string& node, const wire::slot_packet& packet)
+{
+    if (node == this->settings.vm_id)
+    {
+        // Not at once: the sender may be in the middle of a decision.
+        asio::post(
+            this->context,
+            [this, packet]
+            {
+                this->take_slot_packet(this->settings.vm_id, packet);
+            });
+        return;
+    }
+    const std::optional<membership::vm> receiver = this->members.find(node);
+    boost::system::error_code code;
+    if (!receiver)
+    {
+        return;
+    }
+    const asio::ip::address address =
+        asio::ip::make_address(receiver->address, code);
+    if (code)
+    {
+        return;
+    }
+    // A datagram that cannot be sent counts as lost on the way.
+    this->slot_socket.send_to(
+        asio::buffer(
+            this->settings.vm_id + '\n' + wire::encode_slot_packet(packet)),
+        udp::endpoint(address, receiver->link_port),
+        0,
+        code);
+}
+
+asio::awaitable<void> node_process::receive_slots()
+{
+    std::string buffer(largest_datagram, '\0');
+    udp::endpoint sender;
+    while (true)
+    {
+        const auto [code, size] = co_await this->slot_socket.async_receive_from(
+            asio::buffer(buffer), sender, as_result);
+        if (code)
+        {
+            // The system reports here that an earlier receiver was gone.
+            continue;
+        }
+        const std::string_view bytes(buffer.data(), size);
+        const std::size_t name_end = bytes.find('\n');
+        if (name_end == std::string_view::npos)
+        {
+            continue;
+        }
+        const result<wire::slot_packet> packet =
+            wire::decode_slot_packet(bytes.substr(name_end + 1));
+        if (!packet)
+        {
+            this->numbers.add("slot_packets_rejected_total");
+            continue;
+        }
+        this->take_slot_packet(
+            std::string(bytes.substr(0, name_end)), packet.value());
+    }
+}
+
+void node_process::take_slot_packet(
+    const std::string& sender, const wire::slot_packet& packet)
+{
+    if (const auto* verdicts = std::get_if<wire::slot_verdicts>(&packet))
+    {
+        this->slots.on_verdicts(sender, *verdicts);
+        return;
+    }
+    this->coordinator.on_packet(packet);
+}
+
+void node_process::announce()
+{
+    this->members.leave();
+    this->job_work.leave();
+    this->drain_until = read_monotonic_clock() + this->settings.stop_grace -
+                        duration(drain_reserve);
+    this->drain_timer.expires_after(announce_time);
+    this->drain_timer.async_wait(
+        [this](boost::system::error_code)
+        {
+            this->life.on_announced();
+        });
+}
+
+void node_process::drain()
+{
+    this->caller_server.close_after_answers();
+    this->await_drained();
+}
+
+void node_process::await_drained()
+{
+    if (this->caller_server.in_progress() == 0 ||
+        read_monotonic_clock() >= this->drain_until)
+    {
+        this->caller_server.stop_accepting();
+        this->life.on_drained();
+        return;
+    }
+    this->drain_timer.expires_after(drain_poll);
+    this->drain_timer.async_wait(
+        [this](boost::system::error_code)
+        {
+            this->await_drained();
+        });
+}
+
+} // namespace chicory::node
--- /dev/null
+++ b/servers/node/node_process.hpp
@@ -0,0 +1,95 @@
+#ifndef CHICORY_SERVERS_NODE_NODE_PROCESS_HPP
+#define CHICORY_SERVERS_NODE_NODE_PROCESS_HPP
+
+#include "platform/platform.hpp"
+#include "servers/lifecycle/lifecycle.hpp"
+#include "servers/node/fleet_knowledge.hpp"
+#include "servers/node/job_front.hpp"
+#include "servers/node/job_ledger.hpp"
+#include "servers/node/job_runner.hpp"
+#include "servers/node/node_members.hpp"
+#include "servers/node/node_settings.hpp"
+#include "servers/node/online_call.hpp"
+#include "servers/node/runner_caller.hpp"
+#include "servers/node/slot_client.hpp"
+#include "servers/node/slot_service.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+
+namespace chicory::node
+{
+
+/// The one program of an entry VM: answers callers, runs jobs, and takes its
+/// part in coordinating slots.
+class node_process
+{
+public:
+    node_process(boost::asio::io_context& io, node_settings source);
+
+    /// Starts to listen and to watch. Error: unavailable when a port cannot
+    /// be bound.
+    result<void> start();
+
+private:
+    boost::asio::awaitable<void> serve_caller(net::http_exchange& exchange);
+    boost::asio::awaitable<void> serve_online(
+        net::http_exchange& exchange,
+        std::shared_ptr<const serving::serving_configuration> configuration,
+        const serving::serving_route& route,
+        time_point arrived);
+    boost::asio::awaitable<void> serve_submission(
+        net::http_exchange& exchange,
+        std::shared_ptr<const serving::serving_configuration> configuration,
+        const serving::serving_route& route);
+    boost::asio::awaitable<void> serve_readiness(net::http_exchange& exchange);
+    boost::asio::awaitable<void>
+    serve_entry_addresses(net::http_exchange& exchange);
+    boost::asio::awaitable<void> serve_peer(net::http_exchange& exchange);
+    boost::asio::awaitable<void> serve_metrics(net::http_exchange& exchange);
+    boost::asio::awaitable<void> receive_slots();
+    void
+    send_slot_packet(const std::string& node, const wire::slot_packet& packet);
+    void take_slot_packet(
+        const std::string& sender, const wire::slot_packet& packet);
+    void on_adopted(const serving::serving_configuration& configuration);
+    void on_members_changed();
+    void await_reload();
+    bool is_ready() const;
+    void announce();
+    void drain();
+    void await_drained();
+
+    boost::asio::io_context& context;
+    node_settings settings;
+    std::uint64_t incarnation;
+    metrics numbers;
+    platform::store_client store;
+    fleet_knowledge knowledge;
+    node_members members;
+    boost::asio::ip::udp::socket slot_socket;
+    slot_service coordinator;
+    slot_client slots;
+    runner_caller runners;
+    job_ledger jobs;
+    job_runner job_work;
+    job_front job_calls;
+    net::http_server caller_server;
+    net::http_server readiness_server;
+    net::http_server entry_server;
+    net::http_server peer_server;
+    net::http_server metrics_server;
+    daemon_life life;
+    stop_signals signals;
+    boost::asio::signal_set reload_signals;
+    boost::asio::steady_timer drain_timer;
+    time_point drain_until;
+};
+
+} // namespace chicory::node
+
+#endif
--- /dev/null
+++ b/servers/node/node_settings.cpp
@@ -0,0 +1,109 @@
+#include "servers/node/node_settings.hpp"
+
+#include <charconv>
+#include <utility>
+
+namespace chicory::node
+{
+
+namespace
+{
+
+/// Ports that a node uses of its internal range.
+constexpr std::int64_t internal_ports = 3;
+constexpr std::int64_t highest_port = 65535;
+constexpr std::int64_t longest_seconds = 86400;
+constexpr std::int64_t largest_record = 1 << 20;
+constexpr std::int64_t default_record_bytes = 65536;
+
+constexpr enum_table<severity, 4> level_names = {{
+    {severity::debug, "debug"},
+    {severity::info, "info"},
+    {severity::warning, "warning"},
+    {severity::error, "error"},
+}};
+
+net::endpoint read_endpoint(settings_reader& reader, std::string_view key)
+{
+    const std::string text = reader.required_string(key);
+    net::endpoint found;
+    const std::size_t colon = text.rfind(':');
+    const char* const end = text.data() + text.size();
+    if (colon != std::string::npos && colon > 0)
+    {
+        const auto [rest, code] =
+            std::from_chars(text.data() + colon + 1, end, found.port);
+        found.address = text.substr(0, colon);
+        if (code == std::errc() && rest == end && found.port != 0)
+        {
+            return found;
+        }
+    }
+    reader.reject(key, "ADDRESS:PORT", "\"" + text + "\"");
+    return {};
+}
+
+duration read_seconds(
+    settings_reader& reader, std::string_view key, std::int64_t fallback)
+{
+    return std::chrono::seconds(
+        reader.optional_integer(key, fallback, 1, longest_seconds));
+}
+
+severity read_level(settings_reader& reader)
+{
+    const std::string name = reader.optional_string("log.level", "info");
+    const std::optional<severity> level = find_value(level_names, name);
+    if (!level)
+    {
+        reader.reject(
+            "log.level", "debug, info, warning or error", "\"" + name + "\"");
+    }
+    return level.value_or(severity::info);
+}
+
+} // namespace
+
+result<node_settings> read_node_settings(const std::string& path)
+{
+    result<settings_reader> opened = settings_reader::open(path);
+    if (!opened)
+    {
+        return opened.error();
+    }
+    settings_reader& reader = opened.value();
+    node_settings settings;
+    settings.vm_id = reader.required_string("vm.id");
+    settings.region = reader.required_string("vm.region");
+    settings.zone = reader.required_string("vm.zone");
+    settings.address = reader.required_address("vm.address");
+    settings.requests = read_endpoint(reader, "listen.requests");
+    settings.readiness = read_endpoint(reader, "listen.readiness");
+    settings.entry_addresses = read_endpoint(reader, "listen.entry_addresses");
+    const std::int64_t first = reader.required_integer(
+        "listen.first_internal_port", 1, highest_port - internal_ports);
+    settings.gossip_port = static_cast<std::uint16_t>(first);
+    settings.slot_port = static_cast<std::uint16_t>(first + 1);
+    settings.peer_port = static_cast<std::uint16_t>(first + 2);
+    settings.metrics_port = static_cast<std::uint16_t>(
+        reader.optional_integer("listen.metrics_port", 0, 0, highest_port));
+    settings.store = read_endpoint(reader, "store.address");
+    settings.record_bytes = reader.optional_integer(
+        "store.record_bytes", default_record_bytes, 1, largest_record);
+    settings.seeds = reader.optional_strings("vm.seeds");
+    settings.entry_time_to_live =
+        read_seconds(reader, "times.entry_time_to_live_s", 2);
+    settings.stop_grace = read_seconds(reader, "times.stop_grace_s", 8);
+    settings.cancel_limit = std::chrono::milliseconds(reader.optional_integer(
+        "times.cancel_limit_ms", 3000, 1, longest_seconds));
+    settings.result_lifetime =
+        read_seconds(reader, "times.result_lifetime_s", 120);
+    settings.log_level = read_level(reader);
+    if (const result<void> checked = reader.finish(); !checked)
+    {
+        return checked.error();
+    }
+    return settings;
+}
+
+} // namespace chicory::node
--- /dev/null
+++ b/servers/node/online_call.hpp
@@ -0,0 +1,101 @@
+#ifndef CHICORY_SERVERS_NODE_ONLINE_CALL_HPP
+#define CHICORY_SERVERS_NODE_ONLINE_CALL_HPP
+
+#include "servers/node/fleet_knowledge.hpp"
+#include "servers/node/runner_caller.hpp"
+#include "servers/node/slot_client.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace chicory::node
+{
+
+/// What online calls of a node share.
+struct online_services
+{
+    fleet_knowledge& knowledge;
+    slot_client& slots;
+    runner_caller& runners;
+    metrics& numbers;
+};
+
+/// One request of a caller on its way: gets a slot, sends the request to the
+/// runner, and passes the answer on as it comes. What may have run is sent
+/// again only where the route allows that.
+class online_call : public std::enable_shared_from_this<online_call>
+{
+public:
+    /// The configuration holds for the whole call; `route` is one of its
+    /// routes.
+    online_call(
+        boost::asio::io_context& io,
+        online_services shared_services,
+        std::shared_ptr<const serving::serving_configuration> in_force,
+        const serving::serving_route& its_route,
+        net::http_exchange& caller,
+        std::string whole_body,
+        time_point received);
+
+    /// Answers the caller.
+    boost::asio::awaitable<void> run();
+
+private:
+    enum class step
+    {
+        /// Another runner may be tried.
+        again,
+        done,
+    };
+
+    void start_timer();
+    void on_caller_gone();
+    void on_time_over();
+    void close_run();
+    bool is_over() const;
+    slot_wish make_wish() const;
+    net::http_request make_request(const std::string& runner) const;
+    boost::asio::awaitable<step> attempt();
+    boost::asio::awaitable<step>
+    take_failure(const std::string& runner, const runner_outcome& outcome);
+    boost::asio::awaitable<step> pass_on(const slot_answer& slot);
+    boost::asio::awaitable<step> pass_events(const slot_answer& slot);
+    boost::asio::awaitable<step> pass_whole(const slot_answer& slot);
+    boost::asio::awaitable<void> refuse(duration retry_after, reason why);
+    boost::asio::awaitable<void> fail(int status, reason why);
+    boost::asio::awaitable<void> end_over();
+    void note_first_piece();
+    void release(const slot_answer& slot, serving::slot_outcome outcome);
+
+    boost::asio::io_context& context;
+    online_services services;
+    std::shared_ptr<const serving::serving_configuration> configuration;
+    const serving::serving_route& route;
+    net::http_exchange& exchange;
+    std::string body;
+    platform::caller_terms terms;
+    time_point arrived;
+    time_point ends_at;
+    boost::asio::steady_timer timer;
+    net::http_cancellation sending;
+    slot_wait waiting;
+    std::unique_ptr<net::http_stream> stream;
+    serving::event_splitter events;
+    std::vector<std::string> failed_runners;
+    std::uint64_t digest = 0;
+    /// Runners at which the request may have run.
+    std::int64_t runs = 0;
+    /// Runners that refused without running it.
+    int refusals = 0;
+    bool head_sent = false;
+    bool caller_gone = false;
+    bool time_over = false;
+};
+
+} // namespace chicory::node
+
+#endif
--- /dev/null
+++ b/servers/node/runner_caller.cpp
@@ -0,0 +1,98 @@
+#include "servers/node/runner_caller.hpp"
+
+#include <chrono>
+#include <utility>
+
+namespace chicory::node
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Time to connect to a runner: some round trips between zones. A runner that
+/// takes longer is down, and another one gets the request.
+constexpr std::chrono::milliseconds connect_limit(250);
+
+} // namespace
+
+runner_caller::runner_caller(
+    asio::any_io_executor executor, fleet_knowledge& known)
+    : http(std::move(executor)), knowledge(known)
+{
+}
+
+asio::awaitable<runner_outcome> runner_caller::send(
+    const std::string& runner,
+    net::http_request request,
+    duration head_limit,
+    net::http_cancellation& cancellation)
+{
+    runner_outcome outcome;
+    serving::runner_directory& directory = this->knowledge.runners();
+    const serving::runner_entry* entry = directory.find(runner);
+    if (entry == nullptr)
+    {
+        outcome.contact = runner_contact::wrong_runner;
+        outcome.failure = "runner " + runner + " is not registered";
+        co_return outcome;
+    }
+    const net::endpoint target{entry->address, entry->port};
+    net::open_limits limits;
+    limits.connect = connect_limit;
+    limits.head = head_limit;
+    limits.echoed_header = platform::attempt_header;
+    net::open_outcome opened = co_await this->http.open(
+        target, std::move(request), std::move(limits), &cancellation);
+    if (opened.stream == nullptr)
+    {
+        const bool sent = opened.sent == net::send_state::maybe_sent;
+        outcome.contact =
+            sent ? runner_contact::unknown : runner_contact::not_sent;
+        outcome.failure = opened.failure.text;
+        if (!sent && !cancellation.is_cancelled())
+        {
+            directory.on_unreachable(read_monotonic_clock(), runner);
+        }
+        co_return outcome;
+    }
+    directory.on_reached(runner);
+    switch (platform::read_runner_reply(opened.stream->head()))
+    {
+    case platform::runner_reply::answered:
+        outcome.contact = runner_contact::answering;
+        break;
+    case platform::runner_reply::not_run:
+        outcome.contact = runner_contact::not_run;
+        outcome.failure =
+            "status " + std::to_string(opened.stream->head().status);
+        break;
+    case platform::runner_reply::wrong_runner:
+        outcome.contact = runner_contact::wrong_runner;
+        outcome.failure = "another runner has the address";
+        directory.on_gone(runner);
+        break;
+    }
+    outcome.stream = std::move(opened.stream);
+    co_return outcome;
+}
+
+serving::slot_outcome to_slot_outcome(runner_contact contact)
+{
+    switch (contact)
+    {
+    case runner_contact::answering:
+        return serving::slot_outcome::completed;
+    case runner_contact::not_sent:
+        return serving::slot_outcome::unreachable;
+    case runner_contact::not_run:
+    case runner_contact::wrong_runner:
+        return serving::slot_outcome::refused;
+    case runner_contact::unknown:
+        break;
+    }
+    return serving::slot_outcome::broken;
+}
+
+} // namespace chicory::node
--- /dev/null
+++ b/servers/node/runner_caller.hpp
@@ -0,0 +1,65 @@
+#ifndef CHICORY_SERVERS_NODE_RUNNER_CALLER_HPP
+#define CHICORY_SERVERS_NODE_RUNNER_CALLER_HPP
+
+#include "net/net.hpp"
+#include "platform/platform.hpp"
+#include "policy/serving/serving.hpp"
+#include "servers/node/fleet_knowledge.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <string>
+
+namespace chicory::node
+{
+
+/// How far a request got at a runner.
+enum class runner_contact
+{
+    /// The runner answers; the answer is in `stream`.
+    answering,
+    /// No connection was made: not run.
+    not_sent,
+    /// The runner refused: not run.
+    not_run,
+    /// The runner is not the one meant, or is gone: not run.
+    wrong_runner,
+    /// Sent, and no answer came: it may have run.
+    unknown,
+};
+
+/// What sending a request to a runner came to.
+struct runner_outcome
+{
+    runner_contact contact = runner_contact::not_sent;
+    std::unique_ptr<net::http_stream> stream;
+    std::string failure;
+};
+
+/// Sends requests to runners and tells the directory what they show of them.
+class runner_caller
+{
+public:
+    runner_caller(
+        boost::asio::any_io_executor executor, fleet_knowledge& known);
+
+    /// Sends a request to a runner that the directory knows. `head_limit`
+    /// bounds the time until the answer begins.
+    boost::asio::awaitable<runner_outcome> send(
+        const std::string& runner,
+        net::http_request request,
+        duration head_limit,
+        net::http_cancellation& cancellation);
+
+private:
+    net::http_client http;
+    fleet_knowledge& knowledge;
+};
+
+/// Returns the outcome by which a slot is given back.
+serving::slot_outcome to_slot_outcome(runner_contact contact);
+
+} // namespace chicory::node
+
+#endif
--- /dev/null
+++ b/servers/node/slot_client.cpp
@@ -0,0 +1,392 @@
+#include "servers/node/slot_client.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace chicory::node
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds tick_interval(40);
+/// Time after which a request that was not answered is sent again.
+constexpr std::chrono::milliseconds repeat_interval(40);
+/// Time between two reports of all slots in use.
+constexpr std::chrono::milliseconds report_interval(250);
+
+} // namespace
+
+void slot_wait::withdraw()
+{
+    this->withdrawn = true;
+    if (this->wake)
+    {
+        this->wake();
+    }
+}
+
+slot_client::slot_client(
+    asio::io_context& io,
+    fleet_knowledge& known,
+    std::string vm_id,
+    std::string zone,
+    std::uint64_t started,
+    hooks wanted)
+    : context(io), ticker(io), knowledge(known), self(std::move(vm_id)),
+      own_zone(std::move(zone)), incarnation(started),
+      io_hooks(std::move(wanted))
+{
+}
+
+void slot_client::start()
+{
+    this->tick();
+}
+
+std::optional<std::string>
+slot_client::find_coordinator(time_point now, const std::string& service)
+{
+    for (const std::string& node :
+         serving::order_coordinators(service, this->io_hooks.live_nodes()))
+    {
+        if (node == this->self || this->contact.is_answering(now, node))
+        {
+            return node;
+        }
+    }
+    return std::nullopt;
+}
+
+void slot_client::ask(time_point now, pending_wish& pending)
+{
+    const std::optional<std::string> coordinator =
+        this->find_coordinator(now, pending.request.service);
+    if (!coordinator)
+    {
+        return;
+    }
+    pending.coordinator = *coordinator;
+    pending.last_sent = now;
+    pending.request.on_time_left = pending.wish.on_time_until - now;
+    pending.request.time_left = pending.wish.gives_up_at - now;
+    this->contact.on_sent(now, *coordinator);
+    const serving::slot_request request = pending.request;
+    this->io_hooks.send(*coordinator, request);
+}
+
+void slot_client::settle(pending_wish& pending, slot_answer answer)
+{
+    pending.answered = true;
+    pending.answer = std::move(answer);
+    if (pending.timer != nullptr)
+    {
+        pending.timer->cancel();
+    }
+}
+
+void slot_client::choose_directly(time_point now, pending_wish& pending)
+{
+    std::map<std::string, std::int64_t> own;
+    for (const auto& [number, slot] : this->used)
+    {
+        ++own[slot.runner];
+    }
+    const serving::runner_entry* best = nullptr;
+    std::tuple<std::int64_t, bool, std::uint64_t> best_rank;
+    for (const serving::runner_entry* entry :
+         this->knowledge.runners().usable(now, pending.request.service))
+    {
+        const std::vector<std::string>& excluded = pending.request.excluded;
+        if (std::find(excluded.begin(), excluded.end(), entry->id) !=
+            excluded.end())
+        {
+            continue;
+        }
+        const std::tuple<std::int64_t, bool, std::uint64_t> rank(
+            own[entry->id],
+            entry->zone != this->own_zone,
+            hash_bytes(entry->id, pending.request.id.number));
+        if (best == nullptr || rank < best_rank)
+        {
+            best = entry;
+            best_rank = rank;
+        }
+    }
+    log_event(
+        event::coordinator_silent,
+        {{"service", pending.request.service},
+         {"runner", best == nullptr ? "none" : best->id}});
+    slot_answer answer;
+    answer.id = pending.request.id;
+    answer.direct = true;
+    answer.kind = best == nullptr ? slot_answer::answer_kind::refused
+                                  : slot_answer::answer_kind::granted;
+    answer.runner = best == nullptr ? "" : best->id;
+    answer.retry_after = report_interval;
+    this->settle(pending, std::move(answer));
+}
+
+asio::awaitable<slot_answer>
+slot_client::acquire(slot_wish wish, slot_wait& wait)
+{
+    const std::uint64_t number = this->next_number++;
+    const auto pending = std::make_shared<pending_wish>();
+    pending->wish = std::move(wish);
+    serving::slot_request& request = pending->request;
+    request.id = {this->self, this->incarnation, number};
+    request.kind = pending->wish.kind;
+    request.service = pending->wish.service;
+    request.zone = this->own_zone;
+    request.work_left = pending->wish.work_left;
+    request.request_digest = pending->wish.request_digest;
+    request.repeatable = pending->wish.repeatable;
+    request.excluded = pending->wish.excluded;
+    asio::steady_timer timer(this->context);
+    pending->timer = &timer;
+    this->wishes[number] = pending;
+    wait.wake = [&timer]
+    {
+        timer.cancel();
+    };
+    if (!wait.withdrawn)
+    {
+        this->ask(read_monotonic_clock(), *pending);
+    }
+    while (!pending->answered && !wait.withdrawn)
+    {
+        const time_point now = read_monotonic_clock();
+        const bool online = pending->wish.kind == serving::work_kind::online;
+        if (online && now >= pending->wish.gives_up_at)
+        {
+            break;
+        }
+        if (now - pending->last_sent >= duration(repeat_interval) &&
+            (pending->coordinator.empty() ||
+             !this->contact.is_answering(now, pending->coordinator) ||
+             this->contact.awaits_answer(pending->coordinator)))
+        {
+            if (online && !this->find_coordinator(now, request.service))
+            {
+                this->choose_directly(now, *pending);
+                break;
+            }
+            this->ask(now, *pending);
+            if (pending->answered)
+            {
+                break;
+            }
+        }
+        timer.expires_after(tick_interval);
+        co_await timer.async_wait(as_result);
+    }
+    wait.wake = {};
+    pending->timer = nullptr;
+    this->wishes.erase(number);
+    if (pending->answered &&
+        pending->answer.kind == slot_answer::answer_kind::granted)
+    {
+        this->used[number] = {
+            pending->wish.kind,
+            request.service,
+            pending->answer.runner,
+            read_monotonic_clock(),
+            {},
+            false};
+    }
+    if (pending->answered)
+    {
+        co_return pending->answer;
+    }
+    this->io_hooks.send(
+        pending->coordinator,
+        wire::slot_release{
+            request.service, request.id, serving::slot_outcome::unused});
+    slot_answer withdrawn;
+    withdrawn.id = request.id;
+    co_return withdrawn;
+}
+
+void slot_client::release(
+    const serving::slot_id& id, serving::slot_outcome outcome)
+{
+    const auto found = this->used.find(id.number);
+    if (found == this->used.end())
+    {
+        return;
+    }
+    const std::string service = found->second.service;
+    this->used.erase(found);
+    if (const std::optional<std::string> coordinator =
+            this->find_coordinator(read_monotonic_clock(), service))
+    {
+        this->io_hooks.send(
+            *coordinator, wire::slot_release{service, id, outcome});
+    }
+}
+
+void slot_client::set_yield(
+    const serving::slot_id& id, std::function<void()> hook)
+{
+    const auto found = this->used.find(id.number);
+    if (found == this->used.end())
+    {
+        return;
+    }
+    found->second.yield = std::move(hook);
+    if (found->second.must_yield && found->second.yield)
+    {
+        found->second.yield();
+    }
+}
+
+void slot_client::take(
+    const std::string& service, const serving::slot_verdict& verdict)
+{
+    const auto slot = this->used.find(verdict.id.number);
+    if (verdict.kind == serving::verdict_kind::yield)
+    {
+        if (slot != this->used.end())
+        {
+            slot->second.must_yield = true;
+            if (const std::function<void()> hook =
+                    std::exchange(slot->second.yield, {}))
+            {
+                hook();
+            }
+        }
+        return;
+    }
+    const auto found = this->wishes.find(verdict.id.number);
+    const bool granted = verdict.kind == serving::verdict_kind::granted;
+    if (found == this->wishes.end() || found->second->answered)
+    {
+        if (granted && found == this->wishes.end() && slot == this->used.end())
+        {
+            if (const std::optional<std::string> coordinator =
+                    this->find_coordinator(read_monotonic_clock(), service))
+            {
+                this->io_hooks.send(
+                    *coordinator,
+                    wire::slot_release{
+                        service, verdict.id, serving::slot_outcome::unused});
+            }
+        }
+        return;
+    }
+    if (verdict.kind == serving::verdict_kind::queued)
+    {
+        return;
+    }
+    slot_answer answer;
+    answer.id = verdict.id;
+    answer.kind = granted ? slot_answer::answer_kind::granted
+                          : slot_answer::answer_kind::refused;
+    answer.runner = verdict.runner;
+    answer.retry_after = verdict.retry_after;
+    this->settle(*found->second, std::move(answer));
+}
+
+void slot_client::on_verdicts(
+    const std::string& sender, const wire::slot_verdicts& packet)
+{
+    this->contact.on_heard(read_monotonic_clock(), sender);
+    for (const serving::slot_verdict& verdict : packet.verdicts)
+    {
+        if (verdict.id.node == this->self &&
+            verdict.id.incarnation == this->incarnation)
+        {
+            this->take(packet.service, verdict);
+        }
+    }
+}
+
+void slot_client::report(time_point now, const std::string& service)
+{
+    const std::optional<std::string> coordinator =
+        this->find_coordinator(now, service);
+    if (!coordinator)
+    {
+        return;
+    }
+    wire::slot_report all;
+    all.service = service;
+    all.node = this->self;
+    all.incarnation = this->incarnation;
+    for (const auto& [number, slot] : this->used)
+    {
+        if (slot.service == service)
+        {
+            all.held.push_back(
+                {{this->self, this->incarnation, number},
+                 slot.kind,
+                 service,
+                 slot.runner,
+                 now - slot.since});
+        }
+    }
+    for (const auto& [number, pending] : this->wishes)
+    {
+        if (pending->request.service == service && !pending->answered)
+        {
+            pending->coordinator = *coordinator;
+            pending->request.on_time_left = pending->wish.on_time_until - now;
+            pending->request.time_left = pending->wish.gives_up_at - now;
+            all.waiting.push_back(pending->request);
+        }
+    }
+    this->contact.on_sent(now, *coordinator);
+    if (!all.held.empty() || !all.waiting.empty())
+    {
+        this->reported.insert(service);
+    }
+    this->io_hooks.send(*coordinator, all);
+}
+
+void slot_client::tick()
+{
+    const time_point now = read_monotonic_clock();
+    if (now >= this->next_report)
+    {
+        this->next_report = now + duration(report_interval);
+        // A coordinator that was told of slots hears also of their end.
+        std::set<std::string> services = std::exchange(this->reported, {});
+        for (const auto& [number, slot] : this->used)
+        {
+            services.insert(slot.service);
+        }
+        for (const auto& [number, pending] : this->wishes)
+        {
+            services.insert(pending->request.service);
+        }
+        for (const std::string& service : services)
+        {
+            this->report(now, service);
+        }
+    }
+    this->ticker.expires_after(tick_interval);
+    this->ticker.async_wait(
+        [this](boost::system::error_code code)
+        {
+            if (code != asio::error::operation_aborted)
+            {
+                this->tick();
+            }
+        });
+}
+
+std::size_t slot_client::in_use() const
+{
+    return this->used.size();
+}
+
+} // namespace chicory::node
--- /dev/null
+++ b/servers/node/slot_service.cpp
@@ -0,0 +1,155 @@
+#include "servers/node/slot_service.hpp"
+
+#include <boost/asio/error.hpp>
+
+#include <chrono>
+#include <type_traits>
+#include <utility>
+
+namespace chicory::node
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds tick_interval(25);
+/// Time between two looks at runners that are avoided for a time.
+constexpr std::chrono::milliseconds refresh_interval(100);
+
+} // namespace
+
+slot_service::slot_service(
+    boost::asio::io_context& io, fleet_knowledge& known, send_hook hook)
+    : timer(io), knowledge(known), send(std::move(hook))
+{
+}
+
+void slot_service::start()
+{
+    this->tick();
+}
+
+void slot_service::tick()
+{
+    const time_point now = read_monotonic_clock();
+    this->refresh_runners(now, false);
+    for (auto& [service, scheduler] : this->services)
+    {
+        this->answer(service, "", scheduler.on_tick(now));
+    }
+    this->timer.expires_after(tick_interval);
+    this->timer.async_wait(
+        [this](boost::system::error_code code)
+        {
+            if (code != boost::asio::error::operation_aborted)
+            {
+                this->tick();
+            }
+        });
+}
+
+std::vector<serving::slot_runner>
+slot_service::usable_runners(time_point now, const std::string& service)
+{
+    std::vector<serving::slot_runner> runners;
+    for (const serving::runner_entry* entry :
+         this->knowledge.runners().usable(now, service))
+    {
+        runners.push_back({entry->id, entry->zone, entry->slots});
+    }
+    return runners;
+}
+
+void slot_service::refresh_runners(time_point now, bool always)
+{
+    this->knowledge.runners().on_tick(now);
+    const std::uint64_t version = this->knowledge.runners().version();
+    if (!always && version == this->seen_runners && now < this->next_refresh)
+    {
+        return;
+    }
+    this->seen_runners = version;
+    this->next_refresh = now + duration(refresh_interval);
+    for (auto& [service, scheduler] : this->services)
+    {
+        this->answer(
+            service,
+            "",
+            scheduler.set_runners(now, this->usable_runners(now, service)));
+    }
+}
+
+serving::slot_scheduler&
+slot_service::scheduler_of(time_point now, const std::string& service)
+{
+    const auto [entry, added] = this->services.try_emplace(service);
+    if (added)
+    {
+        entry->second.set_runners(now, this->usable_runners(now, service));
+    }
+    return entry->second;
+}
+
+void slot_service::answer(
+    const std::string& service,
+    const std::string& asking,
+    const std::vector<serving::slot_verdict>& verdicts)
+{
+    std::map<std::string, wire::slot_verdicts> by_node;
+    if (!asking.empty())
+    {
+        by_node[asking];
+    }
+    for (const serving::slot_verdict& verdict : verdicts)
+    {
+        by_node[verdict.id.node].verdicts.push_back(verdict);
+    }
+    for (auto& [node, packet] : by_node)
+    {
+        packet.service = service;
+        this->send(node, packet);
+    }
+}
+
+void slot_service::on_packet(const wire::slot_packet& packet)
+{
+    const time_point now = read_monotonic_clock();
+    this->refresh_runners(now, false);
+    if (const auto* request = std::get_if<serving::slot_request>(&packet))
+    {
+        this->answer(
+            request->service,
+            request->id.node,
+            this->scheduler_of(now, request->service)
+                .on_request(now, *request));
+    }
+    else if (const auto* release = std::get_if<wire::slot_release>(&packet))
+    {
+        this->answer(
+            release->service,
+            "",
+            this->scheduler_of(now, release->service)
+                .on_release(now, release->id, release->outcome));
+    }
+    else if (const auto* report = std::get_if<wire::slot_report>(&packet))
+    {
+        this->answer(
+            report->service,
+            report->node,
+            this->scheduler_of(now, report->service)
+                .on_report(
+                    now,
+                    report->node,
+                    report->incarnation,
+                    report->held,
+                    report->waiting));
+    }
+}
+
+const std::map<std::string, serving::slot_scheduler>&
+slot_service::schedulers() const
+{
+    return this->services;
+}
+
+} // namespace chicory::node
--- /dev/null
+++ b/servers/node/table_watch.hpp
@@ -0,0 +1,67 @@
+#ifndef CHICORY_SERVERS_NODE_TABLE_WATCH_HPP
+#define CHICORY_SERVERS_NODE_TABLE_WATCH_HPP
+
+#include "ports/ports.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace chicory::node
+{
+
+/// What a watch tells.
+struct table_watch_hooks
+{
+    /// All records as of a version; called at start and after a gap.
+    std::function<void(const std::vector<ports::record>&, std::int64_t)>
+        on_snapshot;
+    /// A record that was written or removed.
+    std::function<void(const ports::record&)> on_change;
+    /// The store stopped (false) or began (true) to answer.
+    std::function<void(bool)> on_contact;
+};
+
+/// Follows one table of the store: reads all of it, then waits for changes,
+/// and reads all of it again when changes were forgotten meanwhile.
+class table_watch
+{
+public:
+    /// The store must outlive the watch.
+    table_watch(
+        boost::asio::io_context& io,
+        ports::record_store& source,
+        std::string name,
+        table_watch_hooks wanted,
+        std::uint64_t seed);
+
+    void start();
+
+    /// True when the store answered the last call, and a snapshot was read.
+    bool is_current() const;
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<result<void>> read_all();
+    boost::asio::awaitable<result<void>> follow();
+    void set_contact(bool reached, const std::string& why);
+    duration choose_pause();
+
+    boost::asio::io_context& context;
+    ports::record_store& store;
+    std::string table;
+    table_watch_hooks hooks;
+    std::mt19937_64 generator;
+    bool complete = false;
+    bool reached = true;
+    std::int64_t version = 0;
+    int failures = 0;
+};
+
+} // namespace chicory::node
+
+#endif
--- /dev/null
+++ b/tests/platform/documents_test.cpp
@@ -0,0 +1,242 @@
+#include "platform/platform.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+namespace chicory::platform
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+TEST(configuration_document_test, reads_routes_services_and_limits)
+{
+    const auto read = read_configuration(
+        R"({"version":7,"routes":[{"name":"r1","host":"a.example",
+        "prefix":"/x/","route_kind":"streaming","timeout_ms":5000,
+        "target_latency_ms":300,"priority":1,"service":"chat",
+        "max_attempts":2,"resumable":true},{"name":"r2","host":"a.example",
+        "prefix":"/y/","route_kind":"batch","split":[{"service":"chat",
+        "weight":90},{"service":"more","weight":10}],"retention_s":60.0,
+        "completion_target_ms":18000,"max_count":1800000}],"services":
+        [{"name":"chat","engine":{"slots":8}}],"limits":
+        {"max_header_bytes":16384,"max_body_bytes":4194304,
+        "header_timeout_ms":3000,"idle_timeout_ms":15000}})");
+    ASSERT_TRUE(read);
+    const serving::serving_configuration& configuration = read.value();
+    EXPECT_EQ(configuration.version, 7);
+    ASSERT_EQ(configuration.routes.size(), 2U);
+    const serving::serving_route& stream = configuration.routes[0];
+    EXPECT_EQ(stream.kind, serving::route_kind::streaming);
+    EXPECT_EQ(stream.timeout, 5s);
+    EXPECT_EQ(stream.target_latency, 300ms);
+    EXPECT_EQ(stream.max_attempts, 2);
+    EXPECT_TRUE(stream.resumable);
+    const serving::serving_route& batch = configuration.routes[1];
+    EXPECT_EQ(batch.kind, serving::route_kind::batch);
+    EXPECT_EQ(batch.services.size(), 2U);
+    EXPECT_EQ(batch.retention, 60s);
+    EXPECT_EQ(batch.completion_target, 18s);
+    EXPECT_EQ(batch.max_waiting_tokens, 1800000);
+    EXPECT_EQ(configuration.service_slots.at("chat"), 8);
+    EXPECT_EQ(configuration.limits.idle_time, 15s);
+}
+
+TEST(configuration_document_test, a_kind_that_is_unknown_is_not_repeatable)
+{
+    const auto read = read_configuration(
+        R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/",
+        "route_kind":"new","service":"s"}]})");
+    ASSERT_TRUE(read);
+    EXPECT_FALSE(serving::is_repeatable(read.value().routes[0]));
+}
+
+TEST(configuration_document_test, refuses_what_is_no_configuration)
+{
+    EXPECT_FALSE(read_configuration(""));
+    EXPECT_FALSE(read_configuration("[]"));
+    EXPECT_FALSE(read_configuration("{}"));
+    EXPECT_FALSE(read_configuration(R"({"version":1,"routes":[1]})"));
+    EXPECT_FALSE(read_configuration(
+        R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/"}]})"));
+}
+
+ports::record make_runner_record(const std::string& value)
+{
+    ports::record record;
+    record.table = "servers";
+    record.key = "i-1";
+    record.value = value;
+    record.version = 3;
+    return record;
+}
+
+TEST(runner_document_test, reads_an_entry)
+{
+    const auto read = read_runner(make_runner_record(
+        R"({"service":"chat","addr":"10.0.0.9:8080","zone":"z1","slots":8,
+        "state":"draining","born":1791261950012,"seq":4})"));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read.value().id, "i-1");
+    EXPECT_EQ(read.value().address, "10.0.0.9");
+    EXPECT_EQ(read.value().port, 8080);
+    EXPECT_EQ(read.value().state, serving::runner_state::draining);
+    EXPECT_EQ(read.value().born_ms, 1791261950012);
+    EXPECT_EQ(read.value().version, 3);
+}
+
+TEST(runner_document_test, damaged_entries_name_no_runner)
+{
+    for (const char* value :
+         {"",
+          "x",
+          "[]",
+          R"({"service":"c","addr":"10.0.0.9","zone":"z","slots":8,
+          "state":"ready"})",
+          R"({"service":"c","addr":"10.0.0.9:1","zone":"z","slots":"8",
+          "state":"ready"})",
+          R"({"service":"c","addr":"10.0.0.9:1","zone":"z","slots":8,
+          "state":"new"})",
+          R"({"service":1,"addr":"10.0.0.9:1","zone":"z","slots":8,
+          "state":"ready"})"})
+    {
+        EXPECT_FALSE(read_runner(make_runner_record(value))) << value;
+    }
+}
+
+TEST(call_headers_test, passes_on_what_concerns_both_ends)
+{
+    const net::http_headers caller = {
+        {"host", "a.example"},
+        {"x-attempt-id", "t1"},
+        {"x-deadline-ms", "5000"},
+        {"connection", "keep-alive, x-hop"},
+        {"x-hop", "1"},
+        {"transfer-encoding", "chunked"},
+        {"x-model", "m"}};
+    runner_terms terms;
+    terms.runner_id = "i-1";
+    terms.time_left = 1234ms;
+    terms.last_event_id = "7";
+    const net::http_headers sent = make_runner_headers(caller, terms);
+    EXPECT_EQ(
+        sent,
+        (net::http_headers{
+            {"host", "a.example"},
+            {"x-attempt-id", "t1"},
+            {"x-deadline-ms", "1234"},
+            {"x-expect-instance", "i-1"},
+            {"last-event-id", "7"},
+            {"x-model", "m"}}));
+}
+
+TEST(call_headers_test, reads_the_terms_of_a_caller)
+{
+    const caller_terms terms = read_caller_terms(
+        {{"host", "a.example:8161"},
+         {"x-attempt-id", "t1"},
+         {"x-deadline-ms", "5000"},
+         {"x-token-counts", "1460,80"},
+         {"x-wait-ms", "1000"}});
+    EXPECT_EQ(terms.host, "a.example");
+    EXPECT_EQ(terms.attempt_id, "t1");
+    EXPECT_EQ(terms.time_limit, duration(5s));
+    EXPECT_EQ(terms.output_tokens, 80);
+    EXPECT_EQ(terms.poll_time, 1s);
+    EXPECT_FALSE(read_caller_terms({{"x-deadline-ms", "soon"}}).time_limit);
+}
+
+TEST(call_headers_test, only_a_stated_refusal_proves_that_nothing_ran)
+{
+    net::http_response head;
+    head.status = 503;
+    EXPECT_EQ(read_runner_reply(head), runner_reply::answered);
+    head.headers["x-not-executed"] = "1";
+    EXPECT_EQ(read_runner_reply(head), runner_reply::not_run);
+    head.status = 421;
+    EXPECT_EQ(read_runner_reply(head), runner_reply::wrong_runner);
+}
+
+TEST(entry_document_test, reads_the_question_and_writes_the_answer)
+{
+    const entry_question question = read_entry_question(
+        "/-/resolve?name=a.example&region=sul&zone=sul%2Da");
+    EXPECT_EQ(question.host, "a.example");
+    EXPECT_EQ(question.zone, "sul-a");
+    EXPECT_EQ(
+        make_entry_answer({{"10.1.0.10", 8161}}, 2s).body,
+        R"({"addrs":["10.1.0.10:8161"],"ttl_s":2})");
+}
+
+constexpr const char* submission =
+    R"({"requests":[{"id":"e5","path":"/x/3","headers":{"X-Model":"m",
+    "X-Token-Counts":"540,400"},"body":"q83vEjRWeJA=","tokens":940}]})";
+
+TEST(job_document_test, reads_a_submission)
+{
+    const auto read = read_submission(submission);
+    ASSERT_TRUE(read);
+    ASSERT_EQ(read.value().size(), 1U);
+    const job_item& item = read.value()[0];
+    EXPECT_EQ(item.id, "e5");
+    EXPECT_EQ(item.headers.at("x-model"), "m");
+    EXPECT_EQ(item.body.size(), 8U);
+    EXPECT_EQ(item.tokens, 940);
+    const net::http_request sent =
+        make_item_request(item, "a.example", "i-1", "12");
+    EXPECT_EQ(sent.target, "/x/3");
+    EXPECT_EQ(sent.headers.at("x-attempt-id"), "e5");
+    EXPECT_EQ(sent.headers.at("last-event-id"), "12");
+    EXPECT_EQ(sent.headers.at("host"), "a.example");
+}
+
+TEST(job_document_test, refuses_damaged_submissions)
+{
+    for (
+        const char* body :
+        {"",
+         "{}",
+         R"({"requests":[]})",
+         R"({"requests":[1]})",
+         R"({"requests":[{"id":"","path":"/x"}]})",
+         R"({"requests":[{"id":"a","path":"x"}]})",
+         R"({"requests":[{"id":"a","path":"/x","body":"%"}]})",
+         R"({"requests":[{"id":"a","path":"/x","headers":{"A":"b\r\nC: d"}}]})",
+         R"({"requests":[{"id":"a","path":"/x"},{"id":"a","path":"/y"}]})"})
+    {
+        EXPECT_FALSE(read_submission(body)) << body;
+    }
+}
+
+TEST(job_document_test, finds_calls_about_jobs)
+{
+    const auto read = find_job_call("GET", "/-/lots/7c?after=12");
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->kind, job_call_kind::read_results);
+    EXPECT_EQ(read->job, "7c");
+    EXPECT_EQ(read->after, 12);
+    const auto item = find_job_call("GET", "/-/items/7c?id=e5");
+    ASSERT_TRUE(item);
+    EXPECT_EQ(item->item, "e5");
+    EXPECT_EQ(find_job_call("DELETE", "/-/lots/7c")->kind, job_call_kind::end);
+    EXPECT_FALSE(find_job_call("POST", "/-/lots/7c"));
+    EXPECT_FALSE(find_job_call("GET", "/x/7c"));
+}
+
+TEST(job_document_test, writes_results)
+{
+    EXPECT_EQ(
+        make_results_answer(
+            40, 12, {{"e5", serving::item_state::completed, "a\nb"}})
+            .body,
+        R"({"total":40,"next":13,"results":[{"id":"e5",)"
+        R"("state":"completed","text":"a\nb"}]})");
+}
+
+} // namespace
+
+} // namespace chicory::platform
