Node: Reach the store through other nodes, and put off items that cannot be in time

Cause: a node that the store turns away or that is cut off from it could neither commit results nor learn of the configuration; ages of jobs rested on clocks that may jump; by due times alone, overload makes all items late. Change: calls go through another node while the store does not serve this one; a node asks others for what it cannot read; jobs carry the store's clock; choose_put_off (Moore and Hodgson) decides which items wait in an overload.

--- a/policy/membership/gossip.cpp
+++ b/policy/membership/gossip.cpp
@@ -296,6 +296,16 @@
     {
         return;
     }
+    if (heard.what.incarnation > self.what.incarnation)
+    {
+        // An earlier process of this VM had a clock that was ahead. What was
+        // said of that process does not hold for this one.
+        word later = self.what;
+        later.incarnation = heard.what.incarnation + 1;
+        later.refutation = 0;
+        this->members.apply({this->self_id, later, self.details}, now);
+        return;
+    }
     const vm_state worst = heard.what.state == vm_state::leaving
                                ? vm_state::leaving
                                : vm_state::alive;
--- a/policy/serving/job_ownership.cpp
+++ b/policy/serving/job_ownership.cpp
@@ -12,6 +12,11 @@
 {
 }
 
+void job_ownership::set_incarnation(std::uint64_t incarnation)
+{
+    this->self.incarnation = incarnation;
+}
+
 bool job_ownership::owns(const job_record& job) const
 {
     return job.owner == this->self.id &&
--- a/policy/serving/job_ownership.hpp
+++ b/policy/serving/job_ownership.hpp
@@ -31,6 +31,10 @@
 
     explicit job_ownership(live_node node);
 
+    /// Sets the start of the node's process, which may turn out later than
+    /// its clock said.
+    void set_incarnation(std::uint64_t incarnation);
+
     bool owns(const job_record& job) const;
 
     /// Returns whether this node is to take over an open job.
--- a/policy/serving/job_record.hpp
+++ b/policy/serving/job_record.hpp
@@ -56,7 +56,7 @@
     /// about who works: results of a node that lost the job fail to commit.
     std::string owner;
     std::uint64_t owner_incarnation = 0;
-    /// Wall clock of the acceptance, in milliseconds since 1970.
+    /// Store's clock at the acceptance, in milliseconds.
     std::int64_t accepted_ms = 0;
     /// Records that hold the submission; zero when an object holds it.
     std::int64_t body_records = 0;
--- a/policy/serving/serving.hpp
+++ b/policy/serving/serving.hpp
@@ -5,6 +5,7 @@
 
 #include "policy/serving/coordinator_choice.hpp"
 #include "policy/serving/event_splitter.hpp"
+#include "policy/serving/item_plan.hpp"
 #include "policy/serving/item_progress.hpp"
 #include "policy/serving/job_ownership.hpp"
 #include "policy/serving/job_record.hpp"
--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -91,7 +91,11 @@
     time_point since)
 {
     this->remove_running(id);
-    this->running[id] = {kind, runner, since, false};
+    running_slot run;
+    run.kind = kind;
+    run.runner = runner;
+    run.since = since;
+    this->running[id] = run;
     runner_use& use = this->runners[runner];
     if (use.runner.id.empty())
     {
@@ -307,14 +311,17 @@
     return best;
 }
 
-std::optional<slot_id>
-slot_scheduler::choose_yield(time_point now, const slot_request& request) const
+std::optional<slot_id> slot_scheduler::choose_yield(
+    time_point now, const slot_request& request, bool only_put_off) const
 {
     std::optional<slot_id> best;
-    std::tuple<bool, time_point> best_rank;
+    // Items that were put off leave first, then those that are due last.
+    std::tuple<bool, bool, time_point, time_point> best_rank;
     for (const auto& [id, run] : this->running)
     {
-        if (run.kind != work_kind::batch || run.yielding)
+        const bool is_put_off = this->put_off.contains(id);
+        if (run.kind != work_kind::batch || run.yielding ||
+            (only_put_off && !is_put_off))
         {
             continue;
         }
@@ -325,8 +332,11 @@
         {
             continue;
         }
-        const std::tuple<bool, time_point> rank(
-            use->second.runner.zone == request.zone, run.since);
+        const std::tuple<bool, bool, time_point, time_point> rank(
+            is_put_off,
+            use->second.runner.zone == request.zone,
+            run.due,
+            run.since);
         if (!best || rank > best_rank)
         {
             best = id;
@@ -336,17 +346,80 @@
     return best;
 }
 
+slot_scheduler::runner_use* slot_scheduler::make_room(
+    verdicts& out,
+    time_point now,
+    const slot_request& request,
+    bool only_put_off)
+{
+    const std::optional<slot_id> leaving =
+        this->choose_yield(now, request, only_put_off);
+    if (!leaving)
+    {
+        return nullptr;
+    }
+    running_slot& run = this->running.at(*leaving);
+    runner_use& use = this->runners.at(run.runner);
+    run.yielding = true;
+    --use.used;
+    out.push_back(
+        {*leaving, verdict_kind::yield, run.runner, duration::zero()});
+    return &use;
+}
+
+void slot_scheduler::plan_items(time_point now)
+{
+    if (now - this->planned_at < this->settings.plan_interval)
+    {
+        return;
+    }
+    const double passed = static_cast<double>((now - this->planned_at).count());
+    const double span =
+        static_cast<double>(this->settings.batch_slots_time.count());
+    const double left_over = static_cast<double>(
+        this->total_slots() -
+        static_cast<std::int64_t>(this->slots_in_use(work_kind::online)));
+    const double weight = std::min(1.0, passed / span);
+    this->batch_slots += weight * (left_over - this->batch_slots);
+    this->planned_at = now;
+    std::vector<planned_item> items;
+    for (const auto& [id, waiting] : this->queue)
+    {
+        if (waiting.request.kind == work_kind::batch)
+        {
+            items.push_back(
+                {id, waiting.on_time_until, waiting.request.work_left});
+        }
+    }
+    for (const auto& [id, run] : this->running)
+    {
+        if (run.kind == work_kind::batch && run.due != time_point())
+        {
+            items.push_back(
+                {id, run.due, std::max(duration::zero(), run.done_at - now)});
+        }
+    }
+    this->put_off = choose_put_off(now, std::move(items), this->batch_slots);
+}
+
 void slot_scheduler::grant(
     verdicts& out, time_point now, const slot_id& id, runner_use& use)
 {
     const auto found = this->queue.find(id);
     const work_kind kind = found->second.request.kind;
+    const time_point due = found->second.on_time_until;
+    const duration work = found->second.request.work_left;
     if (found->second.request.request_digest != 0)
     {
         this->refused.erase(found->second.request.request_digest);
     }
     this->queue.erase(found);
     this->add_running(id, kind, use.runner.id, now);
+    if (kind == work_kind::batch)
+    {
+        this->running.at(id).due = due;
+        this->running.at(id).done_at = now + work;
+    }
     out.push_back({id, verdict_kind::granted, use.runner.id, duration::zero()});
 }
 
@@ -374,16 +447,15 @@
     return ids;
 }
 
-std::vector<slot_id> slot_scheduler::order_batch(time_point now) const
+std::vector<slot_id> slot_scheduler::order_batch() const
 {
     std::vector<std::tuple<bool, time_point, slot_id>> order;
     for (const auto& [id, waiting] : this->queue)
     {
         if (waiting.request.kind == work_kind::batch)
         {
-            const bool late =
-                now + waiting.request.work_left > waiting.on_time_until;
-            order.emplace_back(late, waiting.on_time_until, id);
+            order.emplace_back(
+                this->put_off.contains(id), waiting.on_time_until, id);
         }
     }
     std::sort(order.begin(), order.end());
@@ -404,18 +476,11 @@
         runner_use* free = this->choose_free(now, request);
         if (free == nullptr)
         {
-            const std::optional<slot_id> leaving =
-                this->choose_yield(now, request);
-            if (!leaving)
-            {
-                continue;
-            }
-            running_slot& run = this->running.at(*leaving);
-            free = &this->runners.at(run.runner);
-            run.yielding = true;
-            --free->used;
-            out.push_back(
-                {*leaving, verdict_kind::yield, run.runner, duration::zero()});
+            free = this->make_room(out, now, request, false);
+        }
+        if (free == nullptr)
+        {
+            continue;
         }
         this->grant(out, now, id, *free);
     }
@@ -423,9 +488,14 @@
 
 void slot_scheduler::dispatch_batch(verdicts& out, time_point now)
 {
-    for (const slot_id& id : this->order_batch(now))
+    for (const slot_id& id : this->order_batch())
     {
-        runner_use* free = this->choose_free(now, this->queue.at(id).request);
+        const slot_request request = this->queue.at(id).request;
+        runner_use* free = this->choose_free(now, request);
+        if (free == nullptr && !this->put_off.contains(id))
+        {
+            free = this->make_room(out, now, request, true);
+        }
         if (free != nullptr)
         {
             this->grant(out, now, id, *free);
@@ -435,6 +505,7 @@
 
 void slot_scheduler::dispatch(verdicts& out, time_point now)
 {
+    this->plan_items(now);
     this->dispatch_online(out, now);
     this->refuse_late(out, now);
     this->dispatch_batch(out, now);
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -1,6 +1,7 @@
 #ifndef CHICORY_POLICY_SERVING_SLOT_SCHEDULER_HPP
 #define CHICORY_POLICY_SERVING_SLOT_SCHEDULER_HPP
 
+#include "policy/serving/item_plan.hpp"
 #include "policy/serving/slot_messages.hpp"
 
 #include <chrono>
@@ -33,6 +34,10 @@
     /// A runner that failed gets one run at a time until one is completed,
     /// and none for this time.
     duration failure_pause = std::chrono::milliseconds(400);
+    /// Time between two plans of which items to put off.
+    duration plan_interval = std::chrono::milliseconds(100);
+    /// Time over which the slots that batch has are averaged, some bursts.
+    duration batch_slots_time = std::chrono::seconds(6);
 };
 
 /// A runner with the slots that may be used.
@@ -56,8 +61,9 @@
 ///   else it is refused at once, to come back when slots are expected to be
 ///   free. Times to come back are spread at the rate at which slots come
 ///   free. Those who came back go first and are not refused again.
-/// - More batch work than fits: the earliest due first among items that can
-///   still be in time, then the others.
+/// - More batch work than fits: the earliest due first among the items that
+///   `choose_put_off` keeps, then the others; these also leave their slots
+///   first.
 ///
 /// No promise rests on its counts: when two schedulers give slots of the same
 /// runner, requests wait at the runner for a moment.
@@ -101,6 +107,10 @@
         time_point since;
         /// Set when the run was told to leave; it counts no longer.
         bool yielding = false;
+        /// Batch: when the item is due and when it will be done; the start
+        /// of time for a run known only from a report.
+        time_point due;
+        time_point done_at;
     };
     struct waiting_request
     {
@@ -144,8 +154,14 @@
         const runner_use& use,
         const slot_request& request) const;
     runner_use* choose_free(time_point now, const slot_request& request);
-    std::optional<slot_id>
-    choose_yield(time_point now, const slot_request& request) const;
+    std::optional<slot_id> choose_yield(
+        time_point now, const slot_request& request, bool only_put_off) const;
+    runner_use* make_room(
+        verdicts& out,
+        time_point now,
+        const slot_request& request,
+        bool only_put_off);
+    void plan_items(time_point now);
     void
     grant(verdicts& out, time_point now, const slot_id& id, runner_use& use);
     void dispatch_online(verdicts& out, time_point now);
@@ -155,7 +171,7 @@
     duration expected_wait(time_point now, std::size_t position) const;
     duration choose_return(time_point now, const waiting_request& refused);
     std::vector<slot_id> order_online(time_point now) const;
-    std::vector<slot_id> order_batch(time_point now) const;
+    std::vector<slot_id> order_batch() const;
 
     slot_scheduler_settings settings;
     std::map<std::string, runner_use> runners;
@@ -165,6 +181,11 @@
     /// Refused requests by digest, and until when they are remembered.
     std::map<std::uint64_t, time_point> refused;
     double mean_online_us = 0.0;
+    /// Items that are put off, as of the last plan.
+    std::set<slot_id> put_off;
+    time_point planned_at;
+    /// Mean number of slots that online leaves to batch.
+    double batch_slots = 0.0;
     /// When the next refused request is to come back.
     time_point next_return;
 };
--- a/ports/record_store.hpp
+++ b/ports/record_store.hpp
@@ -111,6 +111,10 @@
     /// seconds later.
     virtual boost::asio::awaitable<result<record_outcome>>
     transact(record_transaction request) = 0;
+
+    /// Returns the store's steady clock in milliseconds, the same for all
+    /// nodes whatever their own clocks say; nothing before the first answer.
+    virtual std::optional<std::int64_t> clock_ms() const = 0;
 };
 
 } // namespace chicory::ports
--- a/servers/node/fleet_knowledge.cpp
+++ b/servers/node/fleet_knowledge.cpp
@@ -109,6 +109,7 @@
     const time_point now = read_monotonic_clock();
     if (changed.deleted)
     {
+        this->records.erase(changed.key);
         this->directory.on_removed(now, changed.key, changed.version);
         return;
     }
@@ -121,6 +122,7 @@
         this->directory.on_removed(now, changed.key, changed.version);
         return;
     }
+    this->records[changed.key] = changed;
     this->directory.on_entry(now, entry.value());
 }
 
@@ -128,6 +130,7 @@
     const std::vector<ports::record>& records, std::int64_t version)
 {
     std::vector<serving::runner_entry> entries;
+    this->records.clear();
     for (const ports::record& found : records)
     {
         result<serving::runner_entry> entry = platform::read_runner(found);
@@ -139,6 +142,7 @@
             continue;
         }
         entries.push_back(std::move(entry.value()));
+        this->records[found.key] = found;
     }
     this->directory.on_snapshot(read_monotonic_clock(), entries, version);
 }
@@ -154,6 +158,21 @@
     this->directory.on_store_lost(now);
 }
 
+void fleet_knowledge::offer_runner(const ports::record& source)
+{
+    const auto known = this->records.find(source.key);
+    if (known == this->records.end() || known->second.version < source.version)
+    {
+        this->take_runner(source);
+    }
+}
+
+const std::map<std::string, ports::record>&
+fleet_knowledge::runner_records() const
+{
+    return this->records;
+}
+
 serving::runner_directory& fleet_knowledge::runners()
 {
     return this->directory;
@@ -161,7 +180,8 @@
 
 bool fleet_knowledge::is_store_reached() const
 {
-    return this->configuration_watch.is_current();
+    return this->configuration_watch.is_current() &&
+           this->runner_watch.is_current();
 }
 
 } // namespace chicory::node
--- a/servers/node/fleet_knowledge.hpp
+++ b/servers/node/fleet_knowledge.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -41,6 +42,12 @@
     /// Adopts a configuration from another node, when its version is higher.
     void offer_configuration(const std::string& text, std::string_view source);
 
+    /// Takes the entry of a runner from another node.
+    void offer_runner(const ports::record& source);
+
+    /// Returns the runners' entries as they were written, by id.
+    const std::map<std::string, ports::record>& runner_records() const;
+
     serving::runner_directory& runners();
 
     /// True while the store answers what was asked last.
@@ -57,6 +64,7 @@
     std::shared_ptr<const serving::serving_configuration> in_force;
     std::string in_force_text;
     serving::runner_directory directory;
+    std::map<std::string, ports::record> records;
     table_watch configuration_watch;
     table_watch runner_watch;
 };
--- a/servers/node/job_front.cpp
+++ b/servers/node/job_front.cpp
@@ -41,9 +41,9 @@
     job_runner& its_runner,
     metrics& counters,
     std::string vm_id,
-    std::uint64_t started)
+    std::function<std::uint64_t()> incarnation)
     : ledger(its_ledger), runner(its_runner), numbers(counters),
-      self(std::move(vm_id)), incarnation(started)
+      self(std::move(vm_id)), own_incarnation(std::move(incarnation))
 {
 }
 
@@ -70,12 +70,12 @@
     job.id = id;
     job.route = route.name;
     job.owner = this->self;
-    job.owner_incarnation = this->incarnation;
-    job.accepted_ms = read_wall_clock_ms();
+    job.owner_incarnation = this->own_incarnation();
     for (const platform::job_item& item : items.value())
     {
         job.tokens.push_back(item.tokens);
     }
+    const std::uint64_t job_incarnation = job.owner_incarnation;
     const std::size_t count = items.value().size();
     const submit_outcome outcome = co_await this->ledger.submit(
         std::move(job), std::move(body), route.max_waiting_tokens);
@@ -83,7 +83,7 @@
     {
         const serving::job_record* known = this->ledger.find(id);
         if (known != nullptr && known->owner == this->self &&
-            known->owner_incarnation == this->incarnation)
+            known->owner_incarnation == job_incarnation)
         {
             this->runner.on_accepted(id, std::move(items.value()));
         }
--- a/servers/node/job_front.hpp
+++ b/servers/node/job_front.hpp
@@ -8,6 +8,8 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
+#include <functional>
 #include <string>
 
 namespace chicory::node
@@ -22,7 +24,7 @@
         job_runner& its_runner,
         metrics& counters,
         std::string vm_id,
-        std::uint64_t started);
+        std::function<std::uint64_t()> incarnation);
 
     /// Takes a submission on a route.
     boost::asio::awaitable<void> submit(
@@ -52,7 +54,7 @@
     job_runner& runner;
     metrics& numbers;
     std::string self;
-    std::uint64_t incarnation;
+    std::function<std::uint64_t()> own_incarnation;
 };
 
 } // namespace chicory::node
--- a/servers/node/job_ledger.cpp
+++ b/servers/node/job_ledger.cpp
@@ -211,6 +211,14 @@
     return listed;
 }
 
+duration job_ledger::age_of(const serving::job_record& job) const
+{
+    const std::int64_t now_ms =
+        this->records.clock_ms().value_or(job.accepted_ms);
+    return std::chrono::milliseconds(
+        std::max<std::int64_t>(0, now_ms - job.accepted_ms));
+}
+
 std::int64_t job_ledger::waiting_on(const std::string& partition) const
 {
     std::int64_t sum = 0;
@@ -308,6 +316,13 @@
         {
             co_return submit_outcome::accepted;
         }
+        if (!this->records.clock_ms())
+        {
+            // No answer of the store has come yet.
+            static_cast<void>(co_await this->read_one(
+                partition, std::string(job_table), job.id));
+        }
+        job.accepted_ms = this->records.clock_ms().value_or(0);
         ports::record_transaction request;
         request.partition = partition;
         request.conditions.push_back({std::string(job_table), job.id, 0});
--- a/servers/node/job_ledger.hpp
+++ b/servers/node/job_ledger.hpp
@@ -73,6 +73,9 @@
     /// Returns the job in the view, or null.
     const serving::job_record* find(const std::string& id) const;
 
+    /// Returns the time since a job was accepted, by the store's clock.
+    duration age_of(const serving::job_record& job) const;
+
     /// Returns all jobs of the view.
     std::vector<const serving::job_record*> all() const;
 
--- a/servers/node/job_runner.cpp
+++ b/servers/node/job_runner.cpp
@@ -38,11 +38,11 @@
     item_services shared_services,
     job_ledger& its_ledger,
     std::string vm_id,
-    std::uint64_t started,
+    incarnation_hook its_incarnation,
     nodes_hook live)
     : context(io), timer(io), services(shared_services), ledger(its_ledger),
-      self(std::move(vm_id)), incarnation(started), live_nodes(std::move(live)),
-      ownership({this->self, started})
+      self(std::move(vm_id)), own_incarnation(std::move(its_incarnation)),
+      live_nodes(std::move(live)), ownership({this->self, 0})
 {
 }
 
@@ -116,6 +116,7 @@
     {
         return;
     }
+    this->ownership.set_incarnation(this->own_incarnation());
     const std::vector<serving::live_node> live = this->live_nodes();
     for (const serving::job_record* job : this->ledger.all())
     {
@@ -188,7 +189,7 @@
         }
         job_change wanted{record, {}};
         wanted.record.owner = this->self;
-        wanted.record.owner_incarnation = this->incarnation;
+        wanted.record.owner_incarnation = this->own_incarnation();
         return wanted;
     };
     const result<serving::job_record> changed =
@@ -267,9 +268,8 @@
     }
     const serving::serving_route* route =
         serving::find_route_by_name(*configuration, record.route);
-    const std::int64_t age_ms = read_wall_clock_ms() - record.accepted_ms;
-    const bool over = route == nullptr ||
-                      std::chrono::milliseconds(age_ms) > route->retention;
+    const duration age = this->ledger.age_of(record);
+    const bool over = route == nullptr || age > route->retention;
     if (!over)
     {
         return;
@@ -335,8 +335,7 @@
         {
             return;
         }
-        const duration age = std::chrono::milliseconds(
-            read_wall_clock_ms() - record->accepted_ms);
+        const duration age = this->ledger.age_of(*record);
         const time_point accepted = read_monotonic_clock() - age;
         job->runs[item] = std::make_shared<item_run>(
             this->context,
--- a/servers/node/job_runner.hpp
+++ b/servers/node/job_runner.hpp
@@ -27,12 +27,15 @@
     /// Tells the nodes that take work.
     using nodes_hook = std::function<std::vector<serving::live_node>()>;
 
+    /// Tells the incarnation by which the other nodes know this one.
+    using incarnation_hook = std::function<std::uint64_t()>;
+
     job_runner(
         boost::asio::io_context& io,
         item_services shared_services,
         job_ledger& its_ledger,
         std::string vm_id,
-        std::uint64_t started,
+        incarnation_hook its_incarnation,
         nodes_hook live);
 
     void start();
@@ -93,7 +96,7 @@
     item_services services;
     job_ledger& ledger;
     std::string self;
-    std::uint64_t incarnation;
+    incarnation_hook own_incarnation;
     nodes_hook live_nodes;
     std::map<std::string, std::shared_ptr<active_job>> active;
     std::map<std::string, std::vector<platform::job_item>> accepted_items;
--- a/servers/node/node_members.cpp
+++ b/servers/node/node_members.cpp
@@ -43,6 +43,8 @@
     return vm;
 }
 
+} // namespace
+
 std::string to_text(const membership::vm& vm)
 {
     return json::serialize(json::object{
@@ -56,7 +58,6 @@
         {"gossip_port", vm.gossip_port}});
 }
 
-/// Reads a node's record; nothing when it cannot be read.
 std::optional<membership::vm> read_vm(const ports::record& source)
 {
     boost::system::error_code code;
@@ -86,8 +87,6 @@
     }
 }
 
-} // namespace
-
 node_members::node_members(
     asio::io_context& io,
     const node_settings& source,
@@ -181,6 +180,14 @@
     }
 }
 
+std::uint64_t node_members::incarnation() const
+{
+    const membership::member_record* record =
+        this->gossip.state().table().find(this->self.id);
+    return record == nullptr ? this->self.incarnation
+                             : record->what.incarnation;
+}
+
 void node_members::leave()
 {
     this->leaving = true;
@@ -211,7 +218,7 @@
     }
     if (!this->leaving)
     {
-        live.push_back({this->self.id, this->self.incarnation});
+        live.push_back({this->self.id, this->incarnation()});
     }
     return live;
 }
--- a/servers/node/node_members.hpp
+++ b/servers/node/node_members.hpp
@@ -18,6 +18,11 @@
 namespace chicory::node
 {
 
+/// Encodes what other nodes need to know of a node, and decodes it; nothing
+/// for a record that cannot be read.
+std::string to_text(const membership::vm& vm);
+std::optional<membership::vm> read_vm(const ports::record& source);
+
 /// The nodes of the fleet: gossip among them, and a record of each in the
 /// store, by which a node that starts finds the others.
 class node_members
@@ -37,6 +42,12 @@
     /// Announces that this node is leaving.
     void leave();
 
+    /// Returns the incarnation by which the others know this node.
+    std::uint64_t incarnation() const;
+
+    /// Takes word of a node that was seen elsewhere.
+    void hear_of(const membership::vm& other);
+
     void set_revision(std::int64_t revision);
     std::int64_t highest_revision() const;
 
@@ -53,7 +64,6 @@
     boost::asio::awaitable<void> keep_registered();
     boost::asio::awaitable<bool> register_self();
     boost::asio::awaitable<bool> read_others();
-    void hear_of(const membership::vm& other);
 
     boost::asio::io_context& context;
     const node_settings& settings;
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -55,12 +55,25 @@
     return limits;
 }
 
+platform::store_client_settings make_store_settings(const node_settings& source)
+{
+    platform::store_client_settings settings;
+    settings.address = source.store;
+    return settings;
+}
+
 } // namespace
 
 node_process::node_process(asio::io_context& io, node_settings source)
     : context(io), settings(std::move(source)),
       incarnation(static_cast<std::uint64_t>(read_wall_clock_ms())),
-      store(io.get_executor(), {this->settings.store}),
+      store(
+          io.get_executor(),
+          make_store_settings(this->settings),
+          [this]
+          {
+              return this->peers.choose_relays();
+          }),
       knowledge(
           io,
           this->store,
@@ -79,6 +92,7 @@
           {
               this->on_members_changed();
           }),
+      peers(io, this->settings, this->store, this->knowledge, this->members),
       slot_socket(io),
       coordinator(
           io,
@@ -118,7 +132,10 @@
           {this->knowledge, this->slots, this->runners, this->numbers},
           this->jobs,
           this->settings.vm_id,
-          this->incarnation,
+          [this]
+          {
+              return this->members.incarnation();
+          },
           [this]
           {
               return this->members.live_nodes();
@@ -128,7 +145,10 @@
           this->job_work,
           this->numbers,
           this->settings.vm_id,
-          this->incarnation),
+          [this]
+          {
+              return this->members.incarnation();
+          }),
       caller_server(
           io.get_executor(),
           [this](net::http_exchange& exchange)
@@ -151,7 +171,7 @@
           io.get_executor(),
           [this](net::http_exchange& exchange)
           {
-              return this->serve_peer(exchange);
+              return this->peers.answer(exchange);
           }),
       metrics_server(
           io.get_executor(),
@@ -232,6 +252,7 @@
         return joined;
     }
     this->knowledge.start();
+    this->peers.start();
     this->coordinator.start();
     this->slots.start();
     this->jobs.start();
@@ -326,20 +347,6 @@
         platform::make_entry_answer(addresses, chosen.time_to_live));
 }
 
-asio::awaitable<void> node_process::serve_peer(net::http_exchange& exchange)
-{
-    if (exchange.head().target == "/configuration" &&
-        this->knowledge.configuration() != nullptr)
-    {
-        net::http_response response;
-        response.headers["content-type"] = "application/json";
-        response.body = this->knowledge.configuration_text();
-        co_await exchange.respond(std::move(response));
-        co_return;
-    }
-    co_await exchange.respond(make_text(status_not_found, "not found"));
-}
-
 asio::awaitable<void> node_process::serve_metrics(net::http_exchange& exchange)
 {
     this->numbers.set(
--- a/servers/node/node_process.hpp
+++ b/servers/node/node_process.hpp
@@ -10,6 +10,7 @@
 #include "servers/node/node_members.hpp"
 #include "servers/node/node_settings.hpp"
 #include "servers/node/online_call.hpp"
+#include "servers/node/peer_exchange.hpp"
 #include "servers/node/runner_caller.hpp"
 #include "servers/node/slot_client.hpp"
 #include "servers/node/slot_service.hpp"
@@ -49,7 +50,6 @@
     boost::asio::awaitable<void> serve_readiness(net::http_exchange& exchange);
     boost::asio::awaitable<void>
     serve_entry_addresses(net::http_exchange& exchange);
-    boost::asio::awaitable<void> serve_peer(net::http_exchange& exchange);
     boost::asio::awaitable<void> serve_metrics(net::http_exchange& exchange);
     boost::asio::awaitable<void> receive_slots();
     void
@@ -71,6 +71,7 @@
     platform::store_client store;
     fleet_knowledge knowledge;
     node_members members;
+    peer_exchange peers;
     boost::asio::ip::udp::socket slot_socket;
     slot_service coordinator;
     slot_client slots;
--- /dev/null
+++ b/tests/policy/serving/item_plan_test.cpp
@@ -0,0 +1,61 @@
+#include "policy/serving/serving.hpp"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+namespace chicory::serving
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const time_point start = time_point() + 1h;
+
+planned_item make_item(std::uint64_t number, duration due, duration work)
+{
+    return {{"n", 1, number}, start + due, work};
+}
+
+TEST(item_plan_test, puts_nothing_off_while_all_fit)
+{
+    EXPECT_TRUE(choose_put_off(
+                    start, {make_item(1, 10s, 5s), make_item(2, 10s, 5s)}, 1.0)
+                    .empty());
+}
+
+TEST(item_plan_test, puts_off_what_cannot_be_in_time_alone)
+{
+    const std::set<slot_id> put_off = choose_put_off(
+        start, {make_item(1, 4s, 5s), make_item(2, 10s, 5s)}, 8.0);
+    EXPECT_EQ(put_off, (std::set<slot_id>{{"n", 1, 1}}));
+}
+
+// Load pattern: twice the work that fits before the due times.
+TEST(item_plan_test, overload_costs_as_few_items_as_can_be)
+{
+    std::vector<planned_item> items;
+    for (std::uint64_t number = 0; number < 20; ++number)
+    {
+        // Half of the items are nearly done.
+        items.push_back(make_item(number, 10s, number % 2 == 0 ? 5s : 1s));
+    }
+    const std::set<slot_id> put_off = choose_put_off(start, items, 3.0);
+    // 3 slots for 10 s: all ten short ones and four long ones.
+    EXPECT_EQ(put_off.size(), 6U);
+    for (const slot_id& id : put_off)
+    {
+        EXPECT_EQ(id.number % 2, 0U);
+    }
+}
+
+TEST(item_plan_test, without_slots_everything_is_put_off)
+{
+    EXPECT_EQ(choose_put_off(start, {make_item(1, 10s, 1s)}, 0.0).size(), 1U);
+}
+
+} // namespace
+
+} // namespace chicory::serving
