Logs: Bound the log of a node, and explain a request from logs

Cause: an engineer on call has only an id; a node wrote few decisions, to standard error, and would have waited for a reader that does not read. Change: each decision on a request or an item has a line with the inputs that decided it; lines of one event are bounded in a second, failures apart; a line that the reader has no room for is counted and left out.

--- a/core/core.hpp
+++ b/core/core.hpp
@@ -10,6 +10,7 @@
 #include "core/event.hpp"
 #include "core/identifier.hpp"
 #include "core/log.hpp"
+#include "core/log_budget.hpp"
 #include "core/metrics.hpp"
 #include "core/program.hpp"
 #include "core/reason.hpp"
--- a/core/event.cpp
+++ b/core/event.cpp
@@ -33,6 +33,7 @@
         {signal_received, "signal_received", info, "The operating system asked the process to stop."},
         {work_cut_off, "work_cut_off", warning, "A second signal stopped the process at once; `cut_off` names what was in progress."},
         {settings_reloaded, "settings_reloaded", info, "The operating system said that the settings have changed."},
+        {lines_left_out, "lines_left_out", info, "Lines of an event were left out because there were too many in a second."},
 
         {request_refused, "request_refused", info, "An online request was refused."},
         {attempt_failed, "attempt_failed", info, "An attempt on a runner gave no whole answer."},
@@ -46,12 +47,13 @@
         {claim_failed, "claim_failed", warning, "The key of a request that may not be repeated could not be claimed."},
         {answer_resumed, "answer_resumed", info, "A broken answer was resumed at its offset."},
 
-        {request_admitted, "request_admitted", debug, "An online request was read and its route found."},
-        {request_placed, "request_placed", debug, "A slot of a runner was given to an online request."},
-        {request_completed, "request_completed", debug, "An online request was answered in whole."},
+        {request_admitted, "request_admitted", info, "An online request was read and its route found."},
+        {request_placed, "request_placed", info, "A slot of a runner was given to an online request."},
+        {request_completed, "request_completed", info, "An online request was answered in whole."},
         {request_failed, "request_failed", warning, "An online request ended without a whole answer."},
-        {request_abandoned, "request_abandoned", debug, "The caller left before the answer was complete."},
+        {request_abandoned, "request_abandoned", info, "The caller left before the answer was complete."},
         {coordinator_silent, "coordinator_silent", warning, "The coordinator of a service's slots does not answer; a runner was chosen without it."},
+        {slot_refused, "slot_refused", info, "The coordinator had no slot in time for an online request."},
 
         {job_accepted, "job_accepted", info, "A batch job was accepted."},
         {job_refused, "job_refused", info, "A batch job was not accepted."},
@@ -62,9 +64,9 @@
         {chunk_lease_lost, "chunk_lease_lost", warning, "A chunk was taken over by another VM; its results here are dropped."},
         {item_failed, "item_failed", warning, "An item failed for good."},
         {commit_deferred, "commit_deferred", warning, "A commit waits for the table service."},
-        {item_placed, "item_placed", debug, "A slot of a runner was given to a batch item."},
-        {item_interrupted, "item_interrupted", debug, "A run of a batch item ended early; its text so far is kept."},
-        {item_finished, "item_finished", debug, "A batch item has its result."},
+        {item_placed, "item_placed", info, "A slot of a runner was given to a batch item."},
+        {item_interrupted, "item_interrupted", info, "A run of a batch item ended early; its text so far is kept."},
+        {item_finished, "item_finished", info, "A batch item has its result."},
         {job_taken_over, "job_taken_over", info, "This VM runs a job whose VM is gone."},
         {job_record_rejected, "job_record_rejected", error, "The record of a job in the store cannot be read."},
 
--- a/core/event.hpp
+++ b/core/event.hpp
@@ -20,6 +20,7 @@
     signal_received = 105,
     work_cut_off = 106,
     settings_reloaded = 107,
+    lines_left_out = 108,
 
     // 200: online requests, owners and runners.
     request_refused = 200,
@@ -39,6 +40,7 @@
     request_failed = 214,
     request_abandoned = 215,
     coordinator_silent = 216,
+    slot_refused = 217,
 
     // 300: batch jobs.
     job_accepted = 300,
--- a/core/log.cpp
+++ b/core/log.cpp
@@ -1,5 +1,7 @@
 #include "core/log.hpp"
 
+#include "core/log_budget.hpp"
+
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
@@ -10,9 +12,17 @@
 #include <boost/log/support/date_time.hpp>
 #include <boost/make_shared.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <atomic>
+#include <climits>
 #include <csignal>
 #include <iostream>
+#include <mutex>
+#include <optional>
+#include <utility>
+#include <vector>
 
 namespace chicory
 {
@@ -56,6 +66,61 @@
     }
 };
 
+std::atomic<std::int64_t>& lost_lines()
+{
+    static std::atomic<std::int64_t> count{0};
+    return count;
+}
+
+/// Writes to standard output what can be written without waiting. A pipe that
+/// polls as writable takes a line of up to PIPE_BUF bytes whole and at once.
+class standard_output_backend
+    : public logging::sinks::basic_formatted_sink_backend<char>
+{
+public:
+    void
+    consume(const logging::record_view& /*record*/, const std::string& line)
+    {
+        std::string bytes = line.substr(0, PIPE_BUF - 1);
+        bytes.push_back('\n');
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        const bool ready = ::poll(&output, 1, 0) == 1 &&
+                           (output.revents & POLLOUT) != 0 &&
+                           (output.revents & (POLLERR | POLLHUP)) == 0;
+        if (!ready || ::write(STDOUT_FILENO, bytes.data(), bytes.size()) < 0)
+        {
+            ++lost_lines();
+        }
+    }
+};
+
+/// Budget of the log; null where the log is not bounded.
+struct bounded_log
+{
+    std::mutex guard;
+    std::optional<log_budget> budget;
+};
+
+bounded_log& bounds()
+{
+    static bounded_log shared;
+    return shared;
+}
+
+/// Returns whether an event may be written now, and what was left out before.
+bool admit(const event_entry& entry, std::vector<left_out_lines>& left_out)
+{
+    bounded_log& shared = bounds();
+    const std::lock_guard<std::mutex> lock(shared.guard);
+    if (!shared.budget)
+    {
+        return true;
+    }
+    const time_point now = read_monotonic_clock();
+    left_out = shared.budget->take_left_out(now);
+    return shared.budget->admit(now, entry.value, entry.level);
+}
+
 bool needs_quotes(std::string_view text)
 {
     return text.empty() ||
@@ -97,14 +162,18 @@
 
 } // namespace
 
-void start_logging(std::string program, std::string vm_id, severity level)
+namespace
+{
+
+template <class Backend>
+void set_sink(std::string program, std::string vm_id, severity level)
 {
     identity() = {std::move(program), std::move(vm_id)};
     lowest_severity() = level;
     // A reader of the log that goes away must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
-    const auto sink = boost::make_shared<
-        logging::sinks::synchronous_sink<standard_error_backend>>();
+    const auto sink =
+        boost::make_shared<logging::sinks::synchronous_sink<Backend>>();
     sink->set_formatter(
         logging::expressions::stream
         << logging::expressions::format_date_time<boost::posix_time::ptime>(
@@ -116,6 +185,28 @@
         "TimeStamp", logging::attributes::utc_clock());
 }
 
+} // namespace
+
+void start_logging(std::string program, std::string vm_id, severity level)
+{
+    set_sink<standard_error_backend>(
+        std::move(program), std::move(vm_id), level);
+}
+
+void start_bounded_logging(
+    std::string program, std::string vm_id, severity level)
+{
+    set_sink<standard_output_backend>(
+        std::move(program), std::move(vm_id), level);
+    const std::lock_guard<std::mutex> lock(bounds().guard);
+    bounds().budget.emplace();
+}
+
+std::int64_t count_lost_log_lines()
+{
+    return lost_lines();
+}
+
 std::string format_event(event value, std::initializer_list<log_field> fields)
 {
     const event_entry& entry = describe(value);
@@ -141,7 +232,19 @@
         return;
     }
     static logging::sources::logger_mt logger;
-    BOOST_LOG(logger) << format_event(value, fields);
+    std::vector<left_out_lines> left_out;
+    const bool admitted = admit(describe(value), left_out);
+    for (const left_out_lines& lines : left_out)
+    {
+        BOOST_LOG(logger) << format_event(
+            event::lines_left_out,
+            {{"event", std::string(describe(lines.value).name)},
+             {"count", lines.count}});
+    }
+    if (admitted)
+    {
+        BOOST_LOG(logger) << format_event(value, fields);
+    }
 }
 
 } // namespace chicory
--- a/core/log.hpp
+++ b/core/log.hpp
@@ -34,6 +34,15 @@
 /// is lost; the process goes on, and so does the log once it can be written.
 void start_logging(std::string program, std::string vm_id, severity level);
 
+/// Directs the log to standard output, bounded for each event by a
+/// `log_budget`. A line that the reader of the output has no room for is left
+/// out and counted, so that the process never waits for its log.
+void start_bounded_logging(
+    std::string program, std::string vm_id, severity level);
+
+/// Returns the number of lines left out because the reader had no room.
+std::int64_t count_lost_log_lines();
+
 /// Writes one line: time, severity, number, name, fields.
 void log_event(event value, std::initializer_list<log_field> fields = {});
 
--- a/main/node_main.cpp
+++ b/main/node_main.cpp
@@ -17,7 +17,7 @@
     {
         return chicory::exit_code::success;
     }
-    chicory::start_logging(
+    chicory::start_bounded_logging(
         "chicory-node", settings.value().vm_id, settings.value().log_level);
     boost::asio::io_context context(1);
     chicory::node::node_process process(context, std::move(settings.value()));
--- a/policy/serving/slot_messages.hpp
+++ b/policy/serving/slot_messages.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace chicory::serving
@@ -26,7 +27,13 @@
     std::uint64_t incarnation = 0;
     std::uint64_t number = 0;
 
-    auto operator<=>(const slot_id&) const = default;
+    bool operator==(const slot_id&) const = default;
+
+    bool operator<(const slot_id& other) const
+    {
+        return std::tie(this->node, this->incarnation, this->number) <
+               std::tie(other.node, other.incarnation, other.number);
+    }
 };
 
 /// Asks for a slot of a service. Times are relative to the sending.
--- a/servers/control_client/command_line.cpp
+++ b/servers/control_client/command_line.cpp
@@ -1,6 +1,7 @@
 #include "servers/control_client/command_line.hpp"
 
 #include "servers/control_client/command_parser.hpp"
+#include "servers/control_client/log_explanation.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -11,6 +12,8 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <utility>
+#include <vector>
 
 namespace chicory::control
 {
@@ -75,6 +78,29 @@
     return static_cast<int>(report.exit);
 }
 
+command_report explain(const invocation& asked)
+{
+    std::vector<log_file> files;
+    for (const std::string& name : asked.logs)
+    {
+        std::ifstream file(name);
+        if (!file)
+        {
+            return report_error(make_error(
+                error_kind::invalid_input,
+                "expected a file that can be read, found " + name));
+        }
+        files.push_back(
+            {name, std::string(std::istreambuf_iterator<char>(file), {})});
+    }
+    result<command_report> report = explain_log(asked.id, files);
+    if (!report)
+    {
+        return report_error(report.error());
+    }
+    return std::move(report.value());
+}
+
 } // namespace
 
 int run_client(int count, const char* const* arguments)
@@ -92,6 +118,10 @@
         return static_cast<int>(
             is_answer ? client_exit::success : client_exit::bad_usage);
     }
+    if (!asked.logs.empty())
+    {
+        return print(explain(asked), asked.json);
+    }
     const result<client_settings> settings =
         read_client_settings(asked.settings);
     if (!settings)
--- a/servers/control_client/command_parser.cpp
+++ b/servers/control_client/command_parser.cpp
@@ -205,6 +205,17 @@
             });
 }
 
+void add_explain(CLI::App& app, invocation& asked)
+{
+    CLI::App* const explain = app.add_subcommand(
+        "explain",
+        "Shows what happened to a request, an item or a job, from logs");
+    explain->add_option("id", asked.id, "Id of the request, item or job")
+        ->required();
+    explain->add_option("files", asked.logs, "Log files of the VMs")
+        ->required();
+}
+
 } // namespace
 
 void set_up(CLI::App& app, invocation& asked)
@@ -224,6 +235,7 @@
     add_history(app, asked);
     add_jobs(app, asked);
     add_fleet(app, asked);
+    add_explain(app, asked);
 }
 
 } // namespace chicory::control
--- a/servers/control_client/command_parser.hpp
+++ b/servers/control_client/command_parser.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace chicory::control
 {
@@ -32,6 +33,8 @@
     std::int64_t revision = 0;
     std::int64_t count = default_history;
     std::string id;
+    /// Log files of `explain`, which needs no settings.
+    std::vector<std::string> logs;
     bool all = false;
 };
 
--- a/servers/control_client/control_client.hpp
+++ b/servers/control_client/control_client.hpp
@@ -11,6 +11,7 @@
 #include "servers/control_client/fleet_commands.hpp"
 #include "servers/control_client/history_commands.hpp"
 #include "servers/control_client/job_commands.hpp"
+#include "servers/control_client/log_explanation.hpp"
 #include "servers/control_client/runner_loads.hpp"
 
 #endif
--- a/servers/node/item_run.cpp
+++ b/servers/node/item_run.cpp
@@ -160,6 +160,9 @@
         {{"job", this->job},
          {"item", this->item.id},
          {"runner", slot.runner},
+         {"slot", slot.id.number},
+         {"coordinator", slot.coordinator},
+         {"due_in_ms", (this->due - read_monotonic_clock()).count() / 1000},
          {"after", this->text.last_event_id()}});
     const time_point begun = read_monotonic_clock();
     runner_outcome outcome = co_await this->services.runners.send(
--- a/servers/node/job_front.cpp
+++ b/servers/node/job_front.cpp
@@ -236,7 +236,7 @@
         co_await this->respond_unsure(exchange, found.error());
         co_return;
     }
-    const serving::job_record job = found.value();
+    const serving::job_record& job = found.value();
     co_await this->respond_results(exchange, job, call.after);
 }
 
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -354,6 +354,27 @@
         static_cast<std::int64_t>(this->caller_server.in_progress()));
     this->numbers.set(
         "slots_in_use", static_cast<std::int64_t>(this->slots.in_use()));
+    this->numbers.set("log_lines_lost", count_lost_log_lines());
+    this->numbers.set("store_served", this->store.is_served() ? 1 : 0);
+    const auto configuration = this->knowledge.configuration();
+    this->numbers.set(
+        "configuration_revision",
+        configuration == nullptr ? 0 : configuration->version);
+    std::int64_t online = 0;
+    std::int64_t batch = 0;
+    std::int64_t waiting = 0;
+    for (const auto& [service, scheduler] : this->coordinator.schedulers())
+    {
+        online += static_cast<std::int64_t>(
+            scheduler.slots_in_use(serving::work_kind::online));
+        batch += static_cast<std::int64_t>(
+            scheduler.slots_in_use(serving::work_kind::batch));
+        waiting += static_cast<std::int64_t>(
+            scheduler.waiting(serving::work_kind::online));
+    }
+    this->numbers.set("coordinated_online_slots", online);
+    this->numbers.set("coordinated_batch_slots", batch);
+    this->numbers.set("coordinated_online_waiting", waiting);
     net::http_response response;
     response.headers["content-type"] = "text/plain; version=0.0.4";
     response.body = this->numbers.render();
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -36,9 +36,8 @@
     net::http_exchange& caller,
     std::string whole_body,
     time_point received)
-    : context(io), services(shared_services),
-      configuration(std::move(in_force)), route(its_route), exchange(caller),
-      body(std::move(whole_body)),
+    : services(shared_services), configuration(std::move(in_force)),
+      route(its_route), exchange(caller), body(std::move(whole_body)),
       terms(platform::read_caller_terms(caller.head().headers)),
       arrived(received), timer(io)
 {
@@ -164,6 +163,7 @@
         co_await this->services.slots.acquire(this->make_wish(), this->waiting);
     if (slot.kind == slot_answer::answer_kind::refused)
     {
+        this->refused_slot = slot.id.number;
         co_await this->refuse(
             slot.retry_after,
             slot.direct ? reason::no_runner : reason::queue_time);
@@ -178,6 +178,9 @@
         event::request_placed,
         {{"request", this->terms.attempt_id},
          {"runner", slot.runner},
+         {"slot", slot.id.number},
+         {"coordinator", slot.coordinator},
+         {"waited_ms", (read_monotonic_clock() - this->arrived).count() / 1000},
          {"direct", slot.direct ? 1 : 0}});
     const bool may_repeat = serving::is_repeatable(this->route) &&
                             this->runs + 1 < this->route.max_attempts;
@@ -411,6 +414,7 @@
         event::request_refused,
         {{"request", this->terms.attempt_id},
          {"reason", std::string(name_of(why))},
+         {"slot", this->refused_slot},
          {"retry_after_ms", retry_after.count() / 1000},
          {"waited_ms",
           (read_monotonic_clock() - this->arrived).count() / 1000}});
--- a/servers/node/online_call.hpp
+++ b/servers/node/online_call.hpp
@@ -71,7 +71,6 @@
     void note_first_piece();
     void release(const slot_answer& slot, serving::slot_outcome outcome);
 
-    boost::asio::io_context& context;
     online_services services;
     std::shared_ptr<const serving::serving_configuration> configuration;
     const serving::serving_route& route;
@@ -87,6 +86,8 @@
     serving::event_splitter events;
     std::vector<std::string> failed_runners;
     std::uint64_t digest = 0;
+    /// Number of the slot request that was refused; zero for none.
+    std::uint64_t refused_slot = 0;
     /// Runners at which the request may have run.
     std::int64_t runs = 0;
     /// Runners that refused without running it.
--- a/servers/node/slot_client.cpp
+++ b/servers/node/slot_client.cpp
@@ -293,6 +293,7 @@
                           : slot_answer::answer_kind::refused;
     answer.runner = verdict.runner;
     answer.retry_after = verdict.retry_after;
+    answer.coordinator = found->second->coordinator;
     this->settle(*found->second, std::move(answer));
 }
 
--- a/servers/node/slot_client.hpp
+++ b/servers/node/slot_client.hpp
@@ -48,6 +48,8 @@
     serving::slot_id id;
     std::string runner;
     duration retry_after = duration::zero();
+    /// Node that decided; empty when no coordinator did.
+    std::string coordinator;
     /// True when the runner was chosen without a coordinator.
     bool direct = false;
 };
--- a/servers/node/slot_service.cpp
+++ b/servers/node/slot_service.cpp
@@ -102,6 +102,10 @@
     }
     for (const serving::slot_verdict& verdict : verdicts)
     {
+        if (verdict.kind == serving::verdict_kind::refused)
+        {
+            this->log_refusal(service, verdict);
+        }
         by_node[verdict.id.node].verdicts.push_back(verdict);
     }
     for (auto& [node, packet] : by_node)
@@ -111,6 +115,22 @@
     }
 }
 
+void slot_service::log_refusal(
+    const std::string& service, const serving::slot_verdict& verdict) const
+{
+    const serving::slot_scheduler& scheduler = this->services.at(service);
+    log_event(
+        event::slot_refused,
+        {{"service", service},
+         {"node", verdict.id.node},
+         {"slot", verdict.id.number},
+         {"online", scheduler.slots_in_use(serving::work_kind::online)},
+         {"batch", scheduler.slots_in_use(serving::work_kind::batch)},
+         {"waiting", scheduler.waiting(serving::work_kind::online)},
+         {"slots", scheduler.total_slots()},
+         {"retry_after_ms", verdict.retry_after.count() / 1000}});
+}
+
 void slot_service::on_packet(const wire::slot_packet& packet)
 {
     const time_point now = read_monotonic_clock();
--- a/servers/node/slot_service.hpp
+++ b/servers/node/slot_service.hpp
@@ -45,6 +45,8 @@
         const std::string& service,
         const std::string& asking,
         const std::vector<serving::slot_verdict>& verdicts);
+    void log_refusal(
+        const std::string& service, const serving::slot_verdict& verdict) const;
     std::vector<serving::slot_runner>
     usable_runners(time_point now, const std::string& service);
 
--- a/tests/core/log_test.cpp
+++ b/tests/core/log_test.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <chrono>
 #include <iostream>
 #include <streambuf>
 
@@ -106,6 +107,52 @@
     EXPECT_EXIT(log_to_broken_pipe(), testing::ExitedWithCode(0), "");
 }
 
+/// Logs into a pipe that nobody reads, far more than the pipe holds.
+[[noreturn]] void log_to_stuck_reader()
+{
+    std::array<int, 2> ends{};
+    if (pipe(ends.data()) != 0 || dup2(ends[1], STDOUT_FILENO) < 0)
+    {
+        _exit(1);
+    }
+    start_bounded_logging("", "", severity::info);
+    const std::string text(2000, 'x');
+    for (int value = 0; value < 60; ++value)
+    {
+        log_event(event::listening, {{"text", text}});
+    }
+    _exit(count_lost_log_lines() > 0 ? 0 : 2);
+}
+
+TEST(log_death_test, a_reader_that_does_not_read_costs_lines_and_no_wait)
+{
+    EXPECT_EXIT(log_to_stuck_reader(), testing::ExitedWithCode(0), "");
+}
+
+TEST(log_budget_test, failures_have_room_when_served_requests_fill_theirs)
+{
+    const time_point start = time_point() + std::chrono::hours(1);
+    log_budget budget;
+    std::int64_t admitted = 0;
+    for (int line = 0; line < 1000; ++line)
+    {
+        admitted +=
+            budget.admit(start, event::request_completed, severity::info) ? 1
+                                                                          : 0;
+    }
+    EXPECT_EQ(admitted, log_budget::info_lines);
+    EXPECT_TRUE(budget.admit(start, event::request_failed, severity::warning));
+    const auto left_out = budget.take_left_out(start);
+    ASSERT_EQ(left_out.size(), 1U);
+    EXPECT_EQ(left_out.front().value, event::request_completed);
+    EXPECT_EQ(left_out.front().count, 1000 - log_budget::info_lines);
+    EXPECT_TRUE(budget.admit(
+        start + std::chrono::seconds(1),
+        event::request_completed,
+        severity::info));
+    EXPECT_TRUE(budget.take_left_out(start + std::chrono::seconds(2)).empty());
+}
+
 } // namespace
 
 } // namespace chicory
