Tests: Run a whole node on stand-ins of the store and the runners

Change: store_standin and engine_standin speak the users' protocol in memory; 20 tests cover streams that break, refusals, draining, jobs, limits, a store that refuses or loses answers, and a process that starts anew.

--- /dev/null
+++ b/tests/servers/node/node_process_test.cpp
@@ -0,0 +1,557 @@
+#include "servers/node/node.hpp"
+#include "tests/standins/engine_standin.hpp"
+#include "tests/standins/store_standin.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+
+namespace chicory::node
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+/// No wait of a test is longer; a condition that does not come by then fails.
+constexpr std::chrono::seconds patience(20);
+
+const std::string routes =
+    R"("routes":[{"name":"ask","host":"a.example","prefix":"/ask/",
+    "route_kind":"streaming","timeout_ms":5000,"target_latency_ms":1000,
+    "service":"chat","max_attempts":1,"resumable":false},
+    {"name":"go-on","host":"a.example","prefix":"/go-on/",
+    "route_kind":"streaming","timeout_ms":5000,"target_latency_ms":1000,
+    "service":"chat","max_attempts":3,"resumable":true},
+    {"name":"jobs","host":"a.example","prefix":"/jobs/","route_kind":"batch",
+    "timeout_ms":5000,"target_latency_ms":1000,"service":"chat",
+    "max_attempts":3,"retention_s":60,"completion_target_ms":18000,
+    "max_count":5000}],"services":[{"name":"chat","engine":{"slots":8}}],
+    "limits":{"max_header_bytes":16384,"max_body_bytes":100000,
+    "header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+
+std::string make_configuration(int version)
+{
+    return R"({"version":)" + std::to_string(version) + "," + routes;
+}
+
+std::uint16_t find_free_port(asio::io_context& io)
+{
+    asio::ip::tcp::acceptor acceptor(
+        io, {asio::ip::make_address("127.0.0.1"), 0});
+    return acceptor.local_endpoint().port();
+}
+
+class node_process_test : public ::testing::Test
+{
+protected:
+    node_process_test()
+        : store(this->io), first(this->io, "i-1"), second(this->io, "i-2"),
+          http(this->io.get_executor())
+    {
+        this->settings.vm_id = "vm-1";
+        this->settings.zone = "z1";
+        this->settings.region = "r1";
+        this->settings.address = "127.0.0.1";
+        for (net::endpoint* listened :
+             {&this->settings.requests,
+              &this->settings.readiness,
+              &this->settings.entry_addresses})
+        {
+            *listened = {"127.0.0.1", find_free_port(this->io)};
+        }
+        this->settings.gossip_port = find_free_port(this->io);
+        this->settings.slot_port = find_free_port(this->io);
+        this->settings.peer_port = find_free_port(this->io);
+        this->settings.store = {"127.0.0.1", this->store.listen()};
+        this->first.listen();
+        this->second.listen();
+    }
+
+    void start()
+    {
+        this->process =
+            std::make_unique<node_process>(this->io, this->settings);
+        ASSERT_TRUE(this->process->start());
+    }
+
+    void start_serving()
+    {
+        this->store.put("op", "", "config", make_configuration(1));
+        this->register_runner(this->first, "ready");
+        this->start();
+        this->wait_until(
+            [this]
+            {
+                return this->get(this->settings.readiness, "/-/readyz")
+                           .status == 200;
+            });
+    }
+
+    void
+    register_runner(const standins::engine_standin& runner, const char* state)
+    {
+        this->store.put("servers", "", runner.id(), runner.entry(state));
+    }
+
+    void wait_until(const std::function<bool()>& condition)
+    {
+        const time_point until = read_monotonic_clock() + duration(patience);
+        while (!condition())
+        {
+            ASSERT_LT(read_monotonic_clock(), until);
+            this->io.run_for(5ms);
+        }
+    }
+
+    net::http_response send(net::endpoint target, net::http_request request)
+    {
+        bool done = false;
+        net::http_response response;
+        asio::co_spawn(
+            this->io,
+            [&]() -> asio::awaitable<void>
+            {
+                result<net::http_response> answer = co_await this->http.request(
+                    target, std::move(request), patience);
+                this->broken = !answer;
+                if (answer)
+                {
+                    response = std::move(answer.value());
+                }
+                done = true;
+            },
+            asio::detached);
+        this->wait_until(
+            [&done]
+            {
+                return done;
+            });
+        return response;
+    }
+
+    net::http_response get(net::endpoint target, const std::string& path)
+    {
+        net::http_request request;
+        request.target = path;
+        request.headers["host"] = "a.example";
+        return this->send(std::move(target), std::move(request));
+    }
+
+    net::http_response
+    ask(const std::string& path, const std::string& attempt, std::string body)
+    {
+        net::http_request request;
+        request.method = "POST";
+        request.target = path;
+        request.headers["host"] = "a.example";
+        request.headers["x-attempt-id"] = attempt;
+        request.headers["x-deadline-ms"] = "5000";
+        request.headers["x-model"] = "m";
+        request.body = std::move(body);
+        return this->send(this->settings.requests, std::move(request));
+    }
+
+    /// Submits a job of two items.
+    int submit(const std::string& id, int tokens = 100)
+    {
+        const std::string item =
+            R"(","path":"/jobs/x","headers":{"X-Model":"m"},"body":"aGk=",)"
+            R"("tokens":)" +
+            std::to_string(tokens) + "}";
+        return this
+            ->ask(
+                "/jobs/x",
+                id,
+                R"({"requests":[{"id":"a-)" + id + item + R"(,{"id":"b-)" + id +
+                    item + "]}")
+            .status;
+    }
+
+    boost::json::object results(const std::string& id)
+    {
+        const net::http_response response =
+            this->get(this->settings.requests, "/-/lots/" + id + "?after=0");
+        if (response.status != 200)
+        {
+            return {};
+        }
+        return boost::json::parse(response.body).as_object();
+    }
+
+    void wait_for_results(const std::string& id, std::int64_t count)
+    {
+        this->wait_until(
+            [&]
+            {
+                const boost::json::object found = this->results(id);
+                return found.contains("next") &&
+                       found.at("next").to_number<std::int64_t>() == count;
+            });
+    }
+
+    asio::io_context io{1};
+    standins::store_standin store;
+    standins::engine_standin first;
+    standins::engine_standin second;
+    net::http_client http;
+    node_settings settings;
+    std::unique_ptr<node_process> process;
+    bool broken = false;
+};
+
+TEST_F(node_process_test, refuses_as_not_run_while_it_knows_no_configuration)
+{
+    this->start();
+    EXPECT_EQ(this->get(this->settings.readiness, "/-/readyz").status, 503);
+    const net::http_response response = this->ask("/ask/1", "t1", "");
+    EXPECT_EQ(response.status, 503);
+    EXPECT_TRUE(response.headers.contains("retry-after"));
+}
+
+TEST_F(node_process_test, passes_a_request_and_its_answer_on_unchanged)
+{
+    this->start_serving();
+    const net::http_response response =
+        this->ask("/ask/1?q=2", "t1", "the body");
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(response.headers.at("x-response-stamp"), "stamp-i-1");
+    EXPECT_EQ(
+        response.body,
+        "id: 1\ndata: text 1\n\nid: 2\ndata: text 2\n\n"
+        "id: 3\ndata: text 3\n\nid: 4\ndata: text 4\n\n");
+    ASSERT_EQ(this->first.arrivals.size(), 1U);
+    const standins::engine_arrival& arrival = this->first.arrivals[0];
+    EXPECT_EQ(arrival.target, "/ask/1?q=2");
+    EXPECT_EQ(arrival.body, "the body");
+    EXPECT_EQ(arrival.headers.at("x-model"), "m");
+    EXPECT_EQ(arrival.headers.at("x-expect-instance"), "i-1");
+    EXPECT_LE(std::stoi(arrival.headers.at("x-deadline-ms")), 5000);
+}
+
+TEST_F(node_process_test, names_no_route_and_no_body_that_is_too_long)
+{
+    this->start_serving();
+    EXPECT_EQ(this->ask("/none/1", "t1", "").status, 404);
+    EXPECT_EQ(this->ask("/ask/1", "t2", std::string(200000, 'x')).status, 413);
+    EXPECT_TRUE(this->first.arrivals.empty());
+}
+
+TEST_F(node_process_test, a_stream_that_breaks_does_not_look_complete)
+{
+    this->start_serving();
+    this->first.break_after = 2;
+    this->ask("/ask/1", "t1", "");
+    EXPECT_TRUE(this->broken);
+    EXPECT_EQ(this->first.arrivals.size(), 1U);
+}
+
+TEST_F(node_process_test, a_resumable_stream_goes_on_at_another_runner)
+{
+    this->start_serving();
+    this->first.break_after = 2;
+    this->register_runner(this->second, "ready");
+    const net::http_response response = this->ask("/go-on/1", "t1", "");
+    if (this->first.arrivals.empty())
+    {
+        // The other runner was chosen; it does not break.
+        EXPECT_EQ(this->second.arrivals.size(), 1U);
+        return;
+    }
+    EXPECT_FALSE(this->broken);
+    EXPECT_EQ(
+        response.body,
+        "id: 1\ndata: text 1\n\nid: 2\ndata: text 2\n\n"
+        "id: 3\ndata: text 3\n\nid: 4\ndata: text 4\n\n");
+}
+
+TEST_F(node_process_test, what_was_not_run_is_tried_elsewhere_or_refused)
+{
+    this->start_serving();
+    this->first.status = 503;
+    this->first.states_not_run = true;
+    const net::http_response refused = this->ask("/ask/1", "t1", "");
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_FALSE(refused.headers.contains("x-response-stamp"));
+    this->register_runner(this->second, "ready");
+    this->wait_until(
+        [this]
+        {
+            return this->ask("/ask/1", "t2", "").status == 200;
+        });
+    EXPECT_FALSE(this->second.arrivals.empty());
+}
+
+TEST_F(node_process_test, a_runner_that_may_have_run_it_is_not_replaced)
+{
+    this->start_serving();
+    this->register_runner(this->second, "ready");
+    this->first.status = 500;
+    this->second.status = 500;
+    EXPECT_EQ(this->ask("/ask/1", "t1", "").status, 500);
+    EXPECT_EQ(this->first.arrivals.size() + this->second.arrivals.size(), 1U);
+}
+
+TEST_F(node_process_test, a_draining_runner_gets_no_new_work)
+{
+    this->start_serving();
+    this->register_runner(this->second, "ready");
+    this->register_runner(this->first, "draining");
+    this->wait_until(
+        [this]
+        {
+            this->ask("/ask/1", "t1", "");
+            return !this->second.arrivals.empty();
+        });
+    const std::size_t before = this->first.arrivals.size();
+    for (int number = 0; number < 10; ++number)
+    {
+        this->ask("/ask/1", "u" + std::to_string(number), "");
+    }
+    EXPECT_EQ(this->first.arrivals.size(), before);
+}
+
+TEST_F(node_process_test, a_caller_that_leaves_ends_its_run)
+{
+    this->start_serving();
+    this->first.events = 100000;
+    bool opened = false;
+    std::unique_ptr<net::http_stream> stream;
+    asio::co_spawn(
+        this->io,
+        [&]() -> asio::awaitable<void>
+        {
+            net::http_request request;
+            request.method = "POST";
+            request.target = "/ask/1";
+            request.headers["host"] = "a.example";
+            request.headers["x-attempt-id"] = "t1";
+            net::open_outcome outcome = co_await this->http.open(
+                this->settings.requests, std::move(request), patience);
+            stream = std::move(outcome.stream);
+            opened = true;
+        },
+        asio::detached);
+    this->wait_until(
+        [&opened]
+        {
+            return opened;
+        });
+    ASSERT_NE(stream, nullptr);
+    stream->close();
+    this->wait_until(
+        [this]
+        {
+            return this->first.arrivals.at(0).cut;
+        });
+}
+
+TEST_F(node_process_test, a_configuration_is_adopted_and_never_reverts)
+{
+    this->start_serving();
+    this->store.put(
+        "op",
+        "",
+        "config",
+        R"({"version":5,"routes":[{"name":"new","host":"a.example",
+        "prefix":"/new/","route_kind":"streaming","service":"chat"}]})");
+    this->wait_until(
+        [this]
+        {
+            return this->ask("/new/1", "t1", "").status == 200;
+        });
+    this->store.put("op", "", "config", make_configuration(4));
+    this->store.forget_history();
+    this->store.put("servers", "", "i-2", this->second.entry("ready"));
+    this->store.remove("servers", "", "i-1");
+    this->wait_until(
+        [this]
+        {
+            this->ask("/new/1", "t2", "");
+            return !this->second.arrivals.empty();
+        });
+    EXPECT_EQ(this->ask("/ask/1", "t3", "").status, 404);
+}
+
+TEST_F(node_process_test, runs_a_job_and_keeps_its_results)
+{
+    this->start_serving();
+    EXPECT_EQ(this->submit("j1"), 202);
+    EXPECT_EQ(this->submit("j1"), 202);
+    this->wait_for_results("j1", 2);
+    const boost::json::object found = this->results("j1");
+    EXPECT_EQ(found.at("total").to_number<std::int64_t>(), 2);
+    for (const boost::json::value& entry : found.at("results").as_array())
+    {
+        EXPECT_EQ(entry.at("state").as_string(), "completed");
+        EXPECT_EQ(
+            entry.at("text").as_string(), "text 1\ntext 2\ntext 3\ntext 4");
+    }
+    EXPECT_EQ(this->first.arrivals.size(), 2U);
+    EXPECT_EQ(this->first.arrivals[0].body, "hi");
+    EXPECT_EQ(
+        this->get(this->settings.requests, "/-/items/j1?id=a-j1").body, "hi");
+    EXPECT_EQ(
+        this->get(this->settings.requests, "/-/lots/none?after=0").status, 404);
+}
+
+TEST_F(node_process_test, an_item_that_breaks_off_goes_on_where_it_was)
+{
+    this->start_serving();
+    this->first.break_after = 2;
+    ASSERT_EQ(this->submit("j1"), 202);
+    this->wait_for_results("j1", 2);
+    EXPECT_EQ(this->first.arrivals.size(), 3U);
+    EXPECT_EQ(this->first.arrivals.back().after, 2);
+    const boost::json::object found = this->results("j1");
+    for (const boost::json::value& entry : found.at("results").as_array())
+    {
+        EXPECT_EQ(
+            entry.at("text").as_string(), "text 1\ntext 2\ntext 3\ntext 4");
+    }
+}
+
+TEST_F(node_process_test, an_item_fails_only_after_its_last_attempt)
+{
+    this->start_serving();
+    this->first.status = 500;
+    ASSERT_EQ(this->submit("j1"), 202);
+    this->wait_for_results("j1", 2);
+    EXPECT_EQ(this->first.arrivals.size(), 6U);
+    const boost::json::object found = this->results("j1");
+    for (const boost::json::value& entry : found.at("results").as_array())
+    {
+        EXPECT_EQ(entry.at("state").as_string(), "errored");
+    }
+}
+
+TEST_F(node_process_test, an_impossible_item_is_tried_once)
+{
+    this->start_serving();
+    this->first.status = 422;
+    ASSERT_EQ(this->submit("j1"), 202);
+    this->wait_for_results("j1", 2);
+    EXPECT_EQ(this->first.arrivals.size(), 2U);
+}
+
+TEST_F(node_process_test, a_job_over_the_limit_is_refused_and_never_runs)
+{
+    this->start_serving();
+    EXPECT_EQ(this->submit("j1", 3000), 429);
+    EXPECT_EQ(this->submit("j2", 100), 202);
+    this->wait_for_results("j2", 2);
+    for (const standins::engine_arrival& arrival : this->first.arrivals)
+    {
+        EXPECT_TRUE(arrival.attempt.ends_with("j2")) << arrival.attempt;
+    }
+}
+
+TEST_F(node_process_test, an_ended_job_stops)
+{
+    this->start_serving();
+    this->first.events = 100000;
+    ASSERT_EQ(this->submit("j1"), 202);
+    this->wait_until(
+        [this]
+        {
+            return this->first.arrivals.size() == 2;
+        });
+    net::http_request request;
+    request.method = "DELETE";
+    request.target = "/-/lots/j1";
+    request.headers["host"] = "a.example";
+    EXPECT_EQ(this->send(this->settings.requests, request).status, 200);
+    EXPECT_EQ(this->send(this->settings.requests, request).status, 200);
+    this->wait_until(
+        [this]
+        {
+            return this->first.arrivals[0].cut && this->first.arrivals[1].cut;
+        });
+}
+
+TEST_F(node_process_test, a_store_that_refuses_keeps_no_job_and_stops_no_call)
+{
+    this->start_serving();
+    this->store.fault = standins::store_fault::refuses;
+    EXPECT_EQ(this->submit("j1"), 503);
+    EXPECT_EQ(this->ask("/ask/1", "t1", "").status, 200);
+    EXPECT_EQ(
+        this->get(this->settings.requests, "/-/lots/j1?after=0").status, 503);
+    this->store.fault = standins::store_fault::none;
+    this->wait_until(
+        [this]
+        {
+            return this->get(this->settings.requests, "/-/lots/j1?after=0")
+                       .status == 404;
+        });
+    EXPECT_EQ(this->store.count("jobs"), 0U);
+}
+
+TEST_F(node_process_test, a_lost_answer_of_the_store_does_not_double_a_job)
+{
+    this->start_serving();
+    this->store.fault = standins::store_fault::loses_answers;
+    this->submit("j1");
+    this->store.fault = standins::store_fault::none;
+    EXPECT_EQ(this->submit("j1"), 202);
+    this->wait_for_results("j1", 2);
+    EXPECT_EQ(this->first.arrivals.size(), 2U);
+}
+
+TEST_F(node_process_test, a_node_that_starts_anew_finishes_accepted_jobs)
+{
+    this->start_serving();
+    this->first.events = 100000;
+    ASSERT_EQ(this->submit("j1"), 202);
+    this->wait_until(
+        [this]
+        {
+            return this->first.arrivals.size() == 2;
+        });
+    // A second node under the same name stands for the next process: the
+    // first one is not told, as after a loss of power.
+    const std::size_t before = this->first.arrivals.size();
+    node_settings again = this->settings;
+    again.requests.port = find_free_port(this->io);
+    again.readiness.port = find_free_port(this->io);
+    again.entry_addresses.port = find_free_port(this->io);
+    again.gossip_port = find_free_port(this->io);
+    again.slot_port = find_free_port(this->io);
+    again.peer_port = find_free_port(this->io);
+    node_process next(this->io, again);
+    ASSERT_TRUE(next.start());
+    this->first.events = 4;
+    this->wait_until(
+        [&]
+        {
+            return this->first.arrivals.size() >= before + 2;
+        });
+    this->wait_for_results("j1", 2);
+}
+
+TEST_F(node_process_test, tells_callers_where_to_connect)
+{
+    this->start_serving();
+    const net::http_response response = this->get(
+        this->settings.entry_addresses,
+        "/-/resolve?name=a.example&region=r1&zone=z1");
+    EXPECT_EQ(response.status, 200);
+    EXPECT_NE(
+        response.body.find(
+            "127.0.0.1:" + std::to_string(this->settings.requests.port)),
+        std::string::npos);
+}
+
+} // namespace
+
+} // namespace chicory::node
--- /dev/null
+++ b/tests/standins/engine_standin.cpp
@@ -0,0 +1,136 @@
+#include "tests/standins/engine_standin.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <memory>
+#include <utility>
+
+namespace chicory::standins
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t largest_body = 1 << 20;
+
+std::string header_of(const net::http_headers& headers, const std::string& name)
+{
+    const auto found = headers.find(name);
+    return found == headers.end() ? std::string() : found->second;
+}
+
+} // namespace
+
+engine_standin::engine_standin(asio::io_context& io, std::string name)
+    : context(io), instance(std::move(name)),
+      server(
+          io.get_executor(),
+          [this](net::http_exchange& exchange)
+          {
+              return this->answer(exchange);
+          })
+{
+}
+
+std::uint16_t engine_standin::listen()
+{
+    this->server.listen({"127.0.0.1", 0}).value();
+    return this->server.port();
+}
+
+const std::string& engine_standin::id() const
+{
+    return this->instance;
+}
+
+std::string engine_standin::entry(const std::string& state) const
+{
+    return R"({"service":"chat","addr":"127.0.0.1:)" +
+           std::to_string(this->server.port()) +
+           R"(","zone":"z1","slots":8,"state":")" + state +
+           R"(","born":1,"seq":1})";
+}
+
+asio::awaitable<void> engine_standin::answer(net::http_exchange& exchange)
+{
+    result<std::string> body = co_await exchange.read_body(largest_body);
+    if (!body)
+    {
+        co_return;
+    }
+    const net::http_headers& headers = exchange.head().headers;
+    net::http_response refusal;
+    refusal.headers["x-attempt-id"] = header_of(headers, "x-attempt-id");
+    if (header_of(headers, "x-expect-instance") != this->instance)
+    {
+        refusal.status = 421;
+        co_await exchange.respond(std::move(refusal));
+        co_return;
+    }
+    engine_arrival arrival;
+    arrival.attempt = header_of(headers, "x-attempt-id");
+    arrival.target = exchange.head().target;
+    arrival.headers = headers;
+    arrival.body = std::move(body.value());
+    const std::string after = header_of(headers, "last-event-id");
+    arrival.after = after.empty() ? 0 : std::stoll(after);
+    this->arrivals.push_back(std::move(arrival));
+    if (this->status != 0)
+    {
+        refusal.status = this->status;
+        if (this->states_not_run)
+        {
+            refusal.headers["x-not-executed"] = "1";
+        }
+        co_await exchange.respond(std::move(refusal));
+        co_return;
+    }
+    co_await this->stream(exchange, this->arrivals.size() - 1);
+}
+
+asio::awaitable<void>
+engine_standin::stream(net::http_exchange& exchange, std::size_t index)
+{
+    const auto gone = std::make_shared<bool>(false);
+    exchange.watch_disconnect(
+        [gone]
+        {
+            *gone = true;
+        });
+    net::http_response head;
+    head.headers["content-type"] = "text/event-stream";
+    head.headers["x-attempt-id"] = this->arrivals[index].attempt;
+    head.headers["x-response-stamp"] = "stamp-" + this->instance;
+    co_await exchange.start_stream(std::move(head));
+    asio::steady_timer timer(this->context);
+    for (std::int64_t number = this->arrivals[index].after + 1;
+         number <= this->events;
+         ++number)
+    {
+        timer.expires_after(this->event_time);
+        co_await timer.async_wait(as_result);
+        const std::string event = "id: " + std::to_string(number) +
+                                  "\ndata: text " + std::to_string(number) +
+                                  "\n\n";
+        if (this->break_after > 0 && number > this->break_after)
+        {
+            this->break_after = 0;
+            co_await exchange.write_chunk(event.substr(0, event.size() / 2));
+            co_return;
+        }
+        const result<void> sent = co_await exchange.write_chunk(event);
+        if (!sent || *gone)
+        {
+            this->arrivals[index].cut = true;
+            co_return;
+        }
+    }
+    co_await exchange.end_stream();
+}
+
+} // namespace chicory::standins
--- /dev/null
+++ b/tests/standins/store_standin.cpp
@@ -0,0 +1,344 @@
+#include "tests/standins/store_standin.hpp"
+
+#include "platform/platform.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <chrono>
+#include <set>
+
+namespace chicory::standins
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t largest_body = 8 << 20;
+constexpr std::string_view object_put = "/-/blob-put/";
+constexpr std::string_view object_get = "/-/blob-get/";
+
+net::http_response make_answer(int status, json::object content)
+{
+    net::http_response response;
+    response.status = status;
+    response.body = json::serialize(content);
+    return response;
+}
+
+std::string find(const std::string& target, std::string_view field)
+{
+    return platform::find_query_field(target, field).value_or("");
+}
+
+std::string text_of(const json::value& row, std::string_view field)
+{
+    const json::value* found = row.as_object().if_contains(field);
+    return found == nullptr ? std::string() : std::string(found->as_string());
+}
+
+} // namespace
+
+store_standin::store_standin(asio::io_context& io)
+    : context(io), server(
+                       io.get_executor(),
+                       [this](net::http_exchange& exchange)
+                       {
+                           return this->answer(exchange);
+                       })
+{
+}
+
+std::uint16_t store_standin::listen()
+{
+    this->server.listen({"127.0.0.1", 0}).value();
+    return this->server.port();
+}
+
+void store_standin::write(const row_name& name, const std::string* value)
+{
+    if (value == nullptr)
+    {
+        this->rows.erase(name);
+    }
+    else
+    {
+        this->rows[name] = {*value, this->version};
+    }
+    this->changes.push_back({name, this->version, value == nullptr});
+}
+
+void store_standin::put(
+    const std::string& table,
+    const std::string& partition,
+    const std::string& key,
+    const std::string& value)
+{
+    ++this->version;
+    this->write({table, partition, key}, &value);
+}
+
+void store_standin::remove(
+    const std::string& table,
+    const std::string& partition,
+    const std::string& key)
+{
+    ++this->version;
+    this->write({table, partition, key}, nullptr);
+}
+
+void store_standin::forget_history()
+{
+    this->changes.clear();
+    this->forgotten = this->version;
+}
+
+std::size_t store_standin::count(const std::string& table) const
+{
+    std::size_t found = 0;
+    for (const auto& [name, row] : this->rows)
+    {
+        found += std::get<0>(name) == table ? 1 : 0;
+    }
+    return found;
+}
+
+asio::awaitable<void> store_standin::answer(net::http_exchange& exchange)
+{
+    result<std::string> body = co_await exchange.read_body(largest_body);
+    if (!body)
+    {
+        co_return;
+    }
+    const std::string target = exchange.head().target;
+    if (this->fault == store_fault::refuses ||
+        this->fault == store_fault::is_busy)
+    {
+        net::http_response response = make_answer(
+            this->fault == store_fault::refuses ? 503 : 429, json::object());
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    if (target == "/-/rows-tx")
+    {
+        co_await this->transact(exchange, std::move(body.value()));
+    }
+    else if (target.starts_with("/-/rows-feed"))
+    {
+        co_await this->follow(exchange);
+    }
+    else if (target.starts_with("/-/rows-get"))
+    {
+        co_await this->read(exchange);
+    }
+    else if (target.starts_with("/-/rows-parts"))
+    {
+        co_await this->list(exchange);
+    }
+    else
+    {
+        co_await this->serve_object(exchange, std::move(body.value()));
+    }
+}
+
+asio::awaitable<void>
+store_standin::transact(net::http_exchange& exchange, std::string body)
+{
+    const json::object call = json::parse(body).as_object();
+    json::array conflicts;
+    bool failed = false;
+    const auto name_of = [](const json::value& row)
+    {
+        return row_name(
+            text_of(row, "table"), text_of(row, "part"), text_of(row, "key"));
+    };
+    for (const json::value& expected : call.at("expected_rev").as_array())
+    {
+        const row_name name = name_of(expected);
+        const auto found = this->rows.find(name);
+        const std::int64_t current =
+            found == this->rows.end() ? 0 : found->second.version;
+        if (expected.at("row_version").to_number<std::int64_t>() == current)
+        {
+            continue;
+        }
+        failed = true;
+        if (found != this->rows.end())
+        {
+            conflicts.push_back(json::object{
+                {"table", std::get<0>(name)},
+                {"part", std::get<1>(name)},
+                {"key", std::get<2>(name)},
+                {"value", encode_base64(found->second.value)},
+                {"row_version", current}});
+        }
+    }
+    if (failed)
+    {
+        net::http_response response = make_answer(
+            412,
+            json::object{
+                {"rows", std::move(conflicts)},
+                {"row_version", this->version}});
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    ++this->version;
+    ++this->transactions;
+    for (const json::value& row : call.at("put").as_array())
+    {
+        const std::string value = decode_base64(text_of(row, "value")).value();
+        this->write(name_of(row), &value);
+    }
+    for (const json::value& row : call.at("remove").as_array())
+    {
+        this->write(name_of(row), nullptr);
+    }
+    if (this->fault == store_fault::loses_answers)
+    {
+        // The connection ends within the answer.
+        co_await exchange.start_stream(net::http_response());
+        co_return;
+    }
+    net::http_response response = make_answer(
+        200,
+        json::object{
+            {"row_version", this->version}, {"now_ms", this->version}});
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<void> store_standin::follow(net::http_exchange& exchange)
+{
+    const std::string target = exchange.head().target;
+    const std::int64_t after = std::stoll(find(target, "after"));
+    const std::string table = find(target, "table");
+    const time_point until =
+        read_monotonic_clock() +
+        std::chrono::milliseconds(std::stoll(find(target, "wait_ms")));
+    asio::steady_timer timer(this->context);
+    json::array found;
+    while (found.empty() && after >= this->forgotten)
+    {
+        for (const change& entry : this->changes)
+        {
+            if (entry.version <= after || std::get<0>(entry.name) != table)
+            {
+                continue;
+            }
+            const auto row = this->rows.find(entry.name);
+            const bool newest =
+                row != this->rows.end() && row->second.version == entry.version;
+            found.push_back(json::object{
+                {"table", table},
+                {"part", std::get<1>(entry.name)},
+                {"key", std::get<2>(entry.name)},
+                {"value", newest ? encode_base64(row->second.value) : ""},
+                {"row_version", entry.version},
+                {"deleted", entry.deleted || !newest}});
+        }
+        if (!found.empty() || read_monotonic_clock() >= until)
+        {
+            break;
+        }
+        timer.expires_after(std::chrono::milliseconds(2));
+        co_await timer.async_wait(as_result);
+    }
+    if (after < this->forgotten)
+    {
+        net::http_response response = make_answer(410, json::object());
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    net::http_response response = make_answer(
+        200,
+        json::object{
+            {"rows", std::move(found)},
+            {"row_version", this->version},
+            {"now_ms", this->version}});
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<void> store_standin::read(net::http_exchange& exchange)
+{
+    const std::string target = exchange.head().target;
+    const std::string from = find(target, "from");
+    const std::string to = find(target, "to");
+    json::array found;
+    for (const auto& [name, row] : this->rows)
+    {
+        const auto& [table, partition, key] = name;
+        if (table == find(target, "table") &&
+            partition == find(target, "part") && key >= from &&
+            (to.empty() || key < to))
+        {
+            found.push_back(json::object{
+                {"table", table},
+                {"part", partition},
+                {"key", key},
+                {"value", encode_base64(row.value)},
+                {"row_version", row.version}});
+        }
+    }
+    net::http_response response = make_answer(
+        200,
+        json::object{
+            {"rows", std::move(found)},
+            {"has_more", false},
+            {"row_version", this->version},
+            {"now_ms", this->version}});
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<void> store_standin::list(net::http_exchange& exchange)
+{
+    const std::string table = find(exchange.head().target, "table");
+    std::set<std::string> partitions;
+    for (const auto& [name, row] : this->rows)
+    {
+        if (std::get<0>(name) == table)
+        {
+            partitions.insert(std::get<1>(name));
+        }
+    }
+    json::array listed;
+    for (const std::string& partition : partitions)
+    {
+        listed.push_back(json::string(partition));
+    }
+    net::http_response response = make_answer(
+        200, json::object{{"parts", std::move(listed)}, {"has_more", false}});
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<void>
+store_standin::serve_object(net::http_exchange& exchange, std::string body)
+{
+    const std::string target = exchange.head().target;
+    net::http_response response;
+    if (target.starts_with(object_put))
+    {
+        const std::string name = target.substr(object_put.size());
+        const bool added = this->objects.emplace(name, body).second;
+        response.status = added ? 200 : 412;
+    }
+    else if (target.starts_with(object_get))
+    {
+        const auto found = this->objects.find(target.substr(object_get.size()));
+        response.status = found == this->objects.end() ? 404 : 200;
+        response.body =
+            found == this->objects.end() ? std::string() : found->second;
+    }
+    else
+    {
+        response.status = 404;
+    }
+    co_await exchange.respond(std::move(response));
+}
+
+} // namespace chicory::standins
