Batch: Let few items of a node wait, and decide and read less

Change: 12 items of a node wait, by due time; the scheduler sorts only where a slot is idle or a plan was made; changes of jobs come in groups of 150 ms; an empty read is checked against the store only when the view is not fresh; ids of items are kept.

--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -130,6 +130,10 @@
     added.returned = request.request_digest != 0 &&
                      this->refused.contains(request.request_digest);
     this->queue[request.id] = std::move(added);
+    if (request.kind == work_kind::online)
+    {
+        this->online_queue.insert(request.id);
+    }
 }
 
 std::vector<slot_verdict>
@@ -367,11 +371,11 @@
     return &use;
 }
 
-void slot_scheduler::plan_items(time_point now)
+bool slot_scheduler::plan_items(time_point now)
 {
     if (now - this->planned_at < this->settings.plan_interval)
     {
-        return;
+        return false;
     }
     const double passed = static_cast<double>((now - this->planned_at).count());
     const double span =
@@ -400,6 +404,7 @@
         }
     }
     this->put_off = choose_put_off(now, std::move(items), this->batch_slots);
+    return true;
 }
 
 void slot_scheduler::grant(
@@ -423,19 +428,24 @@
     out.push_back({id, verdict_kind::granted, use.runner.id, duration::zero()});
 }
 
-std::vector<slot_id> slot_scheduler::order_online(time_point now) const
+std::vector<slot_id> slot_scheduler::order_online(time_point now)
 {
     std::vector<std::tuple<int, time_point, slot_id>> order;
-    for (const auto& [id, waiting] : this->queue)
+    for (auto entry = this->online_queue.begin();
+         entry != this->online_queue.end();)
     {
-        if (waiting.request.kind != work_kind::online)
+        const auto found = this->queue.find(*entry);
+        if (found == this->queue.end())
         {
+            entry = this->online_queue.erase(entry);
             continue;
         }
+        const waiting_request& waiting = found->second;
         const bool late =
             waiting.on_time_until < now + this->settings.first_piece;
         const int rank = waiting.returned ? 0 : (late ? 2 : 1);
-        order.emplace_back(rank, waiting.arrived, id);
+        order.emplace_back(rank, waiting.arrived, *entry);
+        ++entry;
     }
     std::sort(order.begin(), order.end());
     std::vector<slot_id> ids;
@@ -486,13 +496,31 @@
     }
 }
 
-void slot_scheduler::dispatch_batch(verdicts& out, time_point now)
+bool slot_scheduler::has_idle_slot() const
 {
+    return std::any_of(
+        this->runners.begin(),
+        this->runners.end(),
+        [](const auto& item)
+        {
+            const runner_use& use = item.second;
+            return use.usable && use.used < use.runner.slots;
+        });
+}
+
+void slot_scheduler::dispatch_batch(
+    verdicts& out, time_point now, bool may_displace)
+{
+    may_displace = may_displace && !this->put_off.empty();
+    if (!may_displace && !this->has_idle_slot())
+    {
+        return;
+    }
     for (const slot_id& id : this->order_batch())
     {
         const slot_request request = this->queue.at(id).request;
         runner_use* free = this->choose_free(now, request);
-        if (free == nullptr && !this->put_off.contains(id))
+        if (free == nullptr && may_displace && !this->put_off.contains(id))
         {
             free = this->make_room(out, now, request, true);
         }
@@ -500,19 +528,26 @@
         {
             this->grant(out, now, id, *free);
         }
+        else if (request.excluded.empty())
+        {
+            // There is no slot for those behind it either.
+            return;
+        }
     }
 }
 
 void slot_scheduler::dispatch(verdicts& out, time_point now)
 {
-    this->plan_items(now);
-    this->dispatch_online(out, now);
-    this->refuse_late(out, now);
-    this->dispatch_batch(out, now);
+    const bool planned = this->plan_items(now);
+    if (!this->online_queue.empty())
+    {
+        this->dispatch_online(out, now);
+        this->refuse_late(out, now);
+    }
+    this->dispatch_batch(out, now, planned);
 }
 
-duration
-slot_scheduler::expected_wait(time_point now, std::size_t position) const
+std::vector<time_point> slot_scheduler::online_ends(time_point now) const
 {
     std::vector<time_point> ends;
     for (const auto& [id, run] : this->running)
@@ -525,11 +560,19 @@
             ends.push_back(std::max(end, now));
         }
     }
+    std::sort(ends.begin(), ends.end());
+    return ends;
+}
+
+duration slot_scheduler::expected_wait(
+    time_point now,
+    const std::vector<time_point>& ends,
+    std::size_t position) const
+{
     if (ends.empty())
     {
         return duration(static_cast<std::int64_t>(this->mean_online_us));
     }
-    std::sort(ends.begin(), ends.end());
     const std::size_t rounds = position / ends.size();
     const duration whole_rounds(static_cast<std::int64_t>(
         this->mean_online_us * static_cast<double>(rounds)));
@@ -543,7 +586,9 @@
     const duration step(static_cast<std::int64_t>(
         this->mean_online_us / static_cast<double>(slots)));
     const time_point earliest =
-        now + this->expected_wait(now, this->waiting(work_kind::online));
+        now +
+        this->expected_wait(
+            now, this->online_ends(now), this->waiting(work_kind::online));
     this->next_return = std::max(this->next_return + step, earliest);
     const duration left = refusal.gives_up_at - now;
     const duration honoured = std::chrono::duration_cast<duration>(
@@ -554,10 +599,12 @@
 void slot_scheduler::refuse_late(verdicts& out, time_point now)
 {
     std::size_t position = 0;
+    const std::vector<time_point> ends = this->online_ends(now);
     for (const slot_id& id : this->order_online(now))
     {
         const waiting_request& waiting = this->queue.at(id);
-        const time_point begins = now + this->expected_wait(now, position) +
+        const time_point begins = now +
+                                  this->expected_wait(now, ends, position) +
                                   this->settings.first_piece;
         const time_point limit =
             waiting.returned ? waiting.gives_up_at : waiting.on_time_until;
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -161,22 +161,29 @@
         time_point now,
         const slot_request& request,
         bool only_put_off);
-    void plan_items(time_point now);
+    bool plan_items(time_point now);
+    bool has_idle_slot() const;
+    std::vector<time_point> online_ends(time_point now) const;
     void
     grant(verdicts& out, time_point now, const slot_id& id, runner_use& use);
     void dispatch_online(verdicts& out, time_point now);
-    void dispatch_batch(verdicts& out, time_point now);
+    void dispatch_batch(verdicts& out, time_point now, bool may_displace);
     void dispatch(verdicts& out, time_point now);
     void refuse_late(verdicts& out, time_point now);
-    duration expected_wait(time_point now, std::size_t position) const;
+    duration expected_wait(
+        time_point now,
+        const std::vector<time_point>& ends,
+        std::size_t position) const;
     duration choose_return(time_point now, const waiting_request& refused);
-    std::vector<slot_id> order_online(time_point now) const;
+    std::vector<slot_id> order_online(time_point now);
     std::vector<slot_id> order_batch() const;
 
     slot_scheduler_settings settings;
     std::map<std::string, runner_use> runners;
     std::map<slot_id, running_slot> running;
     std::map<slot_id, waiting_request> queue;
+    /// Online requests of the queue; some may have left it already.
+    std::set<slot_id> online_queue;
     std::map<std::string, node_contact> nodes;
     /// Refused requests by digest, and until when they are remembered.
     std::map<std::uint64_t, time_point> refused;
--- a/servers/node/item_run.cpp
+++ b/servers/node/item_run.cpp
@@ -74,6 +74,11 @@
     }
 }
 
+bool item_run::is_waiting() const
+{
+    return !this->has_slot;
+}
+
 const serving::item_progress& item_run::progress() const
 {
     return this->text;
@@ -196,8 +201,10 @@
         }
         co_return step::again;
     }
+    this->has_slot = true;
     const step next =
         co_await this->take_answer(slot, std::move(outcome.stream));
+    this->has_slot = false;
     this->worked += read_monotonic_clock() - begun;
     co_return next;
 }
--- a/servers/node/item_run.hpp
+++ b/servers/node/item_run.hpp
@@ -60,6 +60,9 @@
     /// Stops the work soon.
     void stop();
 
+    /// Returns whether the item has no slot now.
+    bool is_waiting() const;
+
     const serving::item_progress& progress() const;
 
 private:
@@ -97,6 +100,7 @@
     std::vector<std::string> avoided;
     bool stopped = false;
     bool yielding = false;
+    bool has_slot = false;
 };
 
 } // namespace chicory::node
--- a/servers/node/job_front.cpp
+++ b/servers/node/job_front.cpp
@@ -19,6 +19,8 @@
 constexpr int status_gateway_timeout = 504;
 /// Bytes of texts in one answer; JSON and its escapes come on top.
 constexpr std::size_t most_answer_bytes = 700000;
+/// Jobs whose item ids a node keeps for reads.
+constexpr std::size_t most_known_jobs = 500;
 constexpr std::chrono::milliseconds longest_poll(1000);
 constexpr std::chrono::milliseconds unavailable_retry(300);
 constexpr std::chrono::milliseconds over_limit_retry(1000);
@@ -153,6 +155,48 @@
         platform::make_refusal(unavailable_retry, failure.text));
 }
 
+asio::awaitable<result<std::vector<std::string>>>
+job_front::find_item_ids(std::string job)
+{
+    if (const auto known = this->item_ids.find(job);
+        known != this->item_ids.end())
+    {
+        co_return known->second;
+    }
+    std::vector<platform::job_item> items;
+    if (const std::vector<platform::job_item>* running =
+            this->runner.find_items(job))
+    {
+        items = *running;
+    }
+    else
+    {
+        const result<std::string> body = co_await this->ledger.read_body(job);
+        if (!body)
+        {
+            co_return body.error();
+        }
+        result<std::vector<platform::job_item>> read =
+            platform::read_submission(body.value());
+        if (!read)
+        {
+            co_return make_error(error_kind::unavailable, read.error().text);
+        }
+        items = std::move(read.value());
+    }
+    std::vector<std::string> ids;
+    for (const platform::job_item& item : items)
+    {
+        ids.push_back(item.id);
+    }
+    if (this->item_ids.size() >= most_known_jobs)
+    {
+        this->item_ids.erase(this->item_ids.begin());
+    }
+    this->item_ids[job] = ids;
+    co_return ids;
+}
+
 asio::awaitable<void> job_front::respond_results(
     net::http_exchange& exchange,
     const serving::job_record& job,
@@ -173,25 +217,12 @@
         co_await this->respond_unsure(exchange, texts.error());
         co_return;
     }
-    const std::vector<platform::job_item>* items =
-        this->runner.find_items(job.id);
-    std::vector<platform::job_item> read;
-    if (items == nullptr)
+    const result<std::vector<std::string>> ids =
+        co_await this->find_item_ids(job.id);
+    if (!ids)
     {
-        const result<std::string> body =
-            co_await this->ledger.read_body(job.id);
-        if (!body)
-        {
-            co_await this->respond_unsure(exchange, body.error());
-            co_return;
-        }
-        result<std::vector<platform::job_item>> parsed =
-            platform::read_submission(body.value());
-        if (parsed)
-        {
-            read = std::move(parsed.value());
-        }
-        items = &read;
+        co_await this->respond_unsure(exchange, ids.error());
+        co_return;
     }
     std::vector<platform::job_result> results;
     for (std::size_t at = 0; at < texts.value().size(); ++at)
@@ -199,7 +230,7 @@
         const serving::listed_result& entry =
             job.listed[static_cast<std::size_t>(after) + at];
         results.push_back(
-            {items->at(static_cast<std::size_t>(entry.item)).id,
+            {ids.value().at(static_cast<std::size_t>(entry.item)),
              entry.state,
              texts.value()[at]});
     }
@@ -228,6 +259,12 @@
         co_await this->respond_results(exchange, job, call.after);
         co_return;
     }
+    if (known != nullptr && this->ledger.is_fresh())
+    {
+        const serving::job_record job = *known;
+        co_await this->respond_results(exchange, job, call.after);
+        co_return;
+    }
     // The view may lag behind what another node has already shown.
     const result<serving::job_record> found =
         co_await this->ledger.look_up(call.job);
--- a/servers/node/job_front.hpp
+++ b/servers/node/job_front.hpp
@@ -10,7 +10,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
+#include <vector>
 
 namespace chicory::node
 {
@@ -45,6 +47,9 @@
     end(net::http_exchange& exchange, const platform::job_call& call);
     boost::asio::awaitable<void>
     respond_unsure(net::http_exchange& exchange, const error& failure);
+    /// Returns the ids of a job's items in order.
+    boost::asio::awaitable<result<std::vector<std::string>>>
+    find_item_ids(std::string job);
     boost::asio::awaitable<void> respond_results(
         net::http_exchange& exchange,
         const serving::job_record& job,
@@ -52,6 +57,7 @@
 
     job_ledger& ledger;
     job_runner& runner;
+    std::map<std::string, std::vector<std::string>> item_ids;
     metrics& numbers;
     std::string self;
     std::function<std::uint64_t()> own_incarnation;
--- a/servers/node/job_ledger.cpp
+++ b/servers/node/job_ledger.cpp
@@ -33,6 +33,9 @@
 constexpr std::chrono::milliseconds retry_pause(60);
 constexpr std::chrono::milliseconds catch_up_pause(10);
 constexpr std::chrono::milliseconds catch_up_limit(600);
+/// Time between two calls for changes of jobs; readers of a job wait less
+/// than this longer for its results.
+constexpr std::chrono::milliseconds change_gather_time(150);
 /// Bytes of texts that a node keeps for reads.
 constexpr std::size_t most_kept_bytes = 32 << 20;
 
@@ -103,7 +106,8 @@
                }
            },
            [](bool) {}},
-          seed)
+          seed,
+          change_gather_time)
 {
 }
 
@@ -211,6 +215,11 @@
     return listed;
 }
 
+bool job_ledger::is_fresh() const
+{
+    return this->watch.is_fresh(read_monotonic_clock());
+}
+
 duration job_ledger::age_of(const serving::job_record& job) const
 {
     const std::int64_t now_ms =
--- a/servers/node/job_ledger.hpp
+++ b/servers/node/job_ledger.hpp
@@ -76,6 +76,9 @@
     /// Returns the time since a job was accepted, by the store's clock.
     duration age_of(const serving::job_record& job) const;
 
+    /// Returns whether the view holds what others were shown a second ago.
+    bool is_fresh() const;
+
     /// Returns all jobs of the view.
     std::vector<const serving::job_record*> all() const;
 
--- a/servers/node/job_runner.cpp
+++ b/servers/node/job_runner.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace chicory::node
@@ -21,12 +23,15 @@
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds tick_interval(150);
 /// Results that are ready within this time go into one transaction.
-constexpr std::chrono::milliseconds commit_delay(30);
+constexpr std::chrono::milliseconds commit_delay(50);
 constexpr std::chrono::milliseconds commit_limit(1500);
 constexpr std::chrono::milliseconds load_retry(200);
 constexpr std::chrono::milliseconds failure_pause(150);
-/// Items of one node that wait for slots or run.
-constexpr std::size_t most_items = 96;
+/// A job that is due sooner is counted as late when items are chosen.
+constexpr std::chrono::seconds shortest_item_time(2);
+/// Items of one node that wait for slots at once; all nodes together ask for
+/// as many as there are slots, and no coordinator orders thousands.
+constexpr std::size_t most_waiting_items = 12;
 /// Results and text records in one transaction of the store.
 constexpr std::size_t most_results = 40;
 constexpr std::size_t most_commit_bytes = 500000;
@@ -144,13 +149,18 @@
         if (job != nullptr && serving::is_open(*job) &&
             this->ownership.owns(*job))
         {
-            this->launch(entry->second);
+            this->give_up_old(*entry->second, *job);
+            if (!entry->second->finished.empty())
+            {
+                this->request_commit(entry->second);
+            }
             ++entry;
             continue;
         }
         this->stop(*entry->second);
         entry = this->active.erase(entry);
     }
+    this->launch();
 }
 
 void job_runner::review_owned(const serving::job_record& job)
@@ -252,13 +262,6 @@
     this->schedule();
 }
 
-bool job_runner::is_route_gone(const serving::job_record& job) const
-{
-    const auto configuration = this->services.knowledge.configuration();
-    return configuration != nullptr &&
-           serving::find_route_by_name(*configuration, job.route) == nullptr;
-}
-
 void job_runner::give_up_old(active_job& job, const serving::job_record& record)
 {
     const auto configuration = this->services.knowledge.configuration();
@@ -295,62 +298,106 @@
     }
 }
 
-void job_runner::launch(const std::shared_ptr<active_job>& job)
+std::size_t job_runner::count_waiting() const
 {
-    const serving::job_record* record = this->ledger.find(job->id);
-    this->give_up_old(*job, *record);
-    if (!job->finished.empty())
+    std::size_t waiting = 0;
+    for (const auto& [id, job] : this->active)
     {
-        this->request_commit(job);
+        for (const auto& [item, run] : job->runs)
+        {
+            waiting += run->is_waiting() ? 1 : 0;
+        }
     }
-    std::size_t running = 0;
-    for (const auto& [id, other] : this->active)
+    return waiting;
+}
+
+bool job_runner::is_launched(const active_job& job, std::int64_t item) const
+{
+    return job.runs.contains(item) || std::any_of(
+                                          job.finished.begin(),
+                                          job.finished.end(),
+                                          [item](const finished_item& entry)
+                                          {
+                                              return entry.item == item;
+                                          });
+}
+
+/// Starts items by the due times of their jobs, those that can be in time
+/// before the others.
+void job_runner::launch()
+{
+    const auto configuration = this->services.knowledge.configuration();
+    if (configuration == nullptr)
     {
-        running += other->runs.size();
+        return;
     }
-    for (const std::int64_t item : serving::unlisted_items(*record))
+    struct candidate
     {
-        if (running >= most_items)
-        {
-            return;
-        }
-        const bool finished = std::any_of(
-            job->finished.begin(),
-            job->finished.end(),
-            [item](const finished_item& entry)
-            {
-                return entry.item == item;
-            });
-        if (finished || job->runs.contains(item))
-        {
-            continue;
-        }
-        const std::shared_ptr<const serving::serving_configuration>
-            configuration = this->services.knowledge.configuration();
+        bool late = false;
+        duration left = duration::zero();
+        std::shared_ptr<active_job> job;
+        const serving::serving_route* route = nullptr;
+    };
+    std::vector<candidate> jobs;
+    for (const auto& [id, job] : this->active)
+    {
+        const serving::job_record* record = this->ledger.find(id);
         const serving::serving_route* route =
-            configuration == nullptr
+            record == nullptr
                 ? nullptr
                 : serving::find_route_by_name(*configuration, record->route);
-        if (route == nullptr)
+        if (route != nullptr)
+        {
+            const duration left =
+                route->completion_target - this->ledger.age_of(*record);
+            jobs.push_back({left < shortest_item_time, left, job, route});
+        }
+    }
+    std::stable_sort(
+        jobs.begin(),
+        jobs.end(),
+        [](const candidate& first, const candidate& second)
         {
-            return;
+            return std::tie(first.late, first.left) <
+                   std::tie(second.late, second.left);
+        });
+    std::size_t waiting = this->count_waiting();
+    for (const candidate& next : jobs)
+    {
+        const serving::job_record record = *this->ledger.find(next.job->id);
+        for (const std::int64_t item : serving::unlisted_items(record))
+        {
+            if (waiting >= most_waiting_items)
+            {
+                return;
+            }
+            if (!this->is_launched(*next.job, item))
+            {
+                this->launch_item(next.job, item, *next.route, next.left);
+                ++waiting;
+            }
         }
-        const duration age = this->ledger.age_of(*record);
-        const time_point accepted = read_monotonic_clock() - age;
-        job->runs[item] = std::make_shared<item_run>(
-            this->context,
-            this->services,
-            job->items.at(static_cast<std::size_t>(item)),
-            job->id,
-            record->route,
-            accepted + route->completion_target,
-            accepted + route->retention);
-        asio::co_spawn(
-            this->context, this->run_item(job, item), asio::detached);
-        ++running;
     }
 }
 
+void job_runner::launch_item(
+    const std::shared_ptr<active_job>& job,
+    std::int64_t item,
+    const serving::serving_route& route,
+    duration left)
+{
+    const time_point due = read_monotonic_clock() + left;
+    job->runs[item] = std::make_shared<item_run>(
+        this->context,
+        this->services,
+        job->items.at(static_cast<std::size_t>(item)),
+        job->id,
+        route.name,
+        due,
+        due - route.completion_target + route.retention);
+    asio::co_spawn(this->context, this->run_item(job, item), asio::detached);
+}
+
 asio::awaitable<void>
 job_runner::run_item(std::shared_ptr<active_job> job, std::int64_t item)
 {
--- a/servers/node/job_runner.hpp
+++ b/servers/node/job_runner.hpp
@@ -79,8 +79,14 @@
         const serving::job_record& job, const std::vector<std::string>& live);
     bool owns(const serving::job_record& job) const;
     void stop(active_job& job);
-    void launch(const std::shared_ptr<active_job>& job);
-    bool is_route_gone(const serving::job_record& job) const;
+    void launch();
+    void launch_item(
+        const std::shared_ptr<active_job>& job,
+        std::int64_t item,
+        const serving::serving_route& route,
+        duration left);
+    std::size_t count_waiting() const;
+    bool is_launched(const active_job& job, std::int64_t item) const;
     boost::asio::awaitable<void> take_over(std::string id);
     boost::asio::awaitable<void> load(std::string id);
     boost::asio::awaitable<void>
--- a/servers/node/slot_client.cpp
+++ b/servers/node/slot_client.cpp
@@ -19,6 +19,8 @@
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds tick_interval(40);
+/// Items wait longer than requests, and are many.
+constexpr std::chrono::milliseconds batch_tick_interval(400);
 /// Time after which a request that was not answered is sent again.
 constexpr std::chrono::milliseconds repeat_interval(40);
 /// Time between two reports of all slots in use.
@@ -186,7 +188,8 @@
                 break;
             }
         }
-        timer.expires_after(tick_interval);
+        timer.expires_after(
+            online ? duration(tick_interval) : duration(batch_tick_interval));
         co_await timer.async_wait(as_result);
     }
     wait.wake = {};
--- a/servers/node/table_watch.cpp
+++ b/servers/node/table_watch.cpp
@@ -22,6 +22,8 @@
 /// Wait of one call for changes; a connection that went silent is noticed
 /// soon after it.
 constexpr std::chrono::milliseconds follow_time(1000);
+/// An answer to a wait for changes comes at least this often.
+constexpr std::chrono::milliseconds fresh_time(1300);
 constexpr std::chrono::milliseconds shortest_pause(50);
 constexpr std::chrono::milliseconds longest_pause(500);
 /// Doublings of the pause after failures.
@@ -34,9 +36,10 @@
     ports::record_store& source,
     std::string name,
     table_watch_hooks wanted,
-    std::uint64_t seed)
+    std::uint64_t seed,
+    duration gather_time)
     : context(io), store(source), table(std::move(name)),
-      hooks(std::move(wanted)), generator(seed)
+      hooks(std::move(wanted)), generator(seed), gathering(gather_time)
 {
 }
 
@@ -50,6 +53,11 @@
     return this->complete && this->reached;
 }
 
+bool table_watch::is_fresh(time_point now) const
+{
+    return this->is_current() && now - this->last_answer < duration(fresh_time);
+}
+
 duration table_watch::choose_pause()
 {
     const int doublings = std::min(this->failures, most_doublings);
@@ -92,6 +100,7 @@
         if (done)
         {
             this->failures = 0;
+            this->last_answer = read_monotonic_clock();
             this->set_contact(true, "");
             continue;
         }
@@ -176,6 +185,12 @@
         this->hooks.on_change(changed);
     }
     this->version = std::max(this->version, page.value().version);
+    if (!page.value().records.empty() && this->gathering > duration::zero())
+    {
+        asio::steady_timer timer(this->context);
+        timer.expires_after(this->gathering);
+        co_await timer.async_wait(as_result);
+    }
     co_return boost::outcome_v2::success();
 }
 
--- a/servers/node/table_watch.hpp
+++ b/servers/node/table_watch.hpp
@@ -31,19 +31,24 @@
 class table_watch
 {
 public:
-    /// The store must outlive the watch.
+    /// The store must outlive the watch. Changes that follow others within
+    /// `gather_time` come in one call with later ones.
     table_watch(
         boost::asio::io_context& io,
         ports::record_store& source,
         std::string name,
         table_watch_hooks wanted,
-        std::uint64_t seed);
+        std::uint64_t seed,
+        duration gather_time = duration::zero());
 
     void start();
 
     /// True when the store answered the last call, and a snapshot was read.
     bool is_current() const;
 
+    /// True when changes up to about a second ago are known.
+    bool is_fresh(time_point now) const;
+
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<result<void>> read_all();
@@ -56,8 +61,10 @@
     std::string table;
     table_watch_hooks hooks;
     std::mt19937_64 generator;
+    duration gathering;
     bool complete = false;
     bool reached = true;
+    time_point last_answer;
     std::int64_t version = 0;
     int failures = 0;
 };
