--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -267,13 +267,8 @@
         this->response.status = source.result_int();
         for (const auto& field : source)
         {
-            std::string name(field.name_string());
-            for (char& letter : name)
-            {
-                letter = static_cast<char>(
-                    std::tolower(static_cast<unsigned char>(letter)));
-            }
-            this->response.headers[name] = std::string(field.value());
+            this->response.headers[to_lower(field.name_string())] =
+                std::string(field.value());
         }
     }
 
--- a/net/http_message.hpp
+++ b/net/http_message.hpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace chicory::net
 {
@@ -27,6 +28,12 @@
     std::string body;
 };
 
+/// Returns the text in lower case, as header names are kept.
+std::string to_lower(std::string_view text);
+
+/// Makes a response with a plain text.
+http_response make_text_response(int status, std::string text);
+
 } // namespace chicory::net
 
 #endif
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -31,17 +31,6 @@
 constexpr std::size_t read_size = 65536;
 constexpr std::size_t first_read_size = 4096;
 
-std::string to_lower(std::string_view text)
-{
-    std::string lower(text);
-    for (char& letter : lower)
-    {
-        letter =
-            static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
-    }
-    return lower;
-}
-
 error make_peer_error(beast::error_code code)
 {
     return make_error(error_kind::unavailable, "peer: " + code.message());
--- a/servers/node/job_front.cpp
+++ b/servers/node/job_front.cpp
@@ -27,15 +27,6 @@
 /// Time within which the end of a job must be confirmed.
 constexpr std::chrono::milliseconds end_limit(3000);
 
-net::http_response make_text(int status, std::string text)
-{
-    net::http_response response;
-    response.status = status;
-    response.headers["content-type"] = "text/plain";
-    response.body = std::move(text);
-    return response;
-}
-
 } // namespace
 
 job_front::job_front(
@@ -65,7 +56,8 @@
                   : items.error().text;
         log_event(event::job_refused, {{"job", id}, {"reason", why}});
         this->numbers.count_refusal(reason::invalid_request);
-        co_await exchange.respond(make_text(status_bad_request, why));
+        co_await exchange.respond(
+            net::make_text_response(status_bad_request, why));
         co_return;
     }
     serving::job_record job;
@@ -91,7 +83,8 @@
         }
         log_event(event::job_accepted, {{"job", id}, {"items", count}});
         this->numbers.add("jobs_accepted_total");
-        co_await exchange.respond(make_text(status_accepted, "accepted"));
+        co_await exchange.respond(
+            net::make_text_response(status_accepted, "accepted"));
         co_return;
     }
     const reason why = outcome == submit_outcome::over_limit
@@ -105,8 +98,8 @@
          {"certain", outcome == submit_outcome::unknown ? 0 : 1}});
     if (outcome == submit_outcome::unknown)
     {
-        co_await exchange.respond(
-            make_text(status_gateway_timeout, "the job may have been kept"));
+        co_await exchange.respond(net::make_text_response(
+            status_gateway_timeout, "the job may have been kept"));
         co_return;
     }
     net::http_response refusal = platform::make_refusal(
@@ -125,7 +118,8 @@
 {
     if (!platform::is_valid_name(call.job))
     {
-        co_await exchange.respond(make_text(status_not_found, "no such job"));
+        co_await exchange.respond(
+            net::make_text_response(status_not_found, "no such job"));
         co_return;
     }
     switch (call.kind)
@@ -147,7 +141,8 @@
 {
     if (failure.kind == error_kind::not_found)
     {
-        co_await exchange.respond(make_text(status_not_found, failure.text));
+        co_await exchange.respond(
+            net::make_text_response(status_not_found, failure.text));
         co_return;
     }
     this->numbers.count_refusal(reason::table_service_unavailable);
@@ -321,7 +316,8 @@
             co_return;
         }
     }
-    co_await exchange.respond(make_text(status_not_found, "no such item"));
+    co_await exchange.respond(
+        net::make_text_response(status_not_found, "no such item"));
 }
 
 asio::awaitable<void>
@@ -344,15 +340,15 @@
     {
         if (changed.error().kind == error_kind::outcome_unknown)
         {
-            co_await exchange.respond(
-                make_text(status_gateway_timeout, changed.error().text));
+            co_await exchange.respond(net::make_text_response(
+                status_gateway_timeout, changed.error().text));
             co_return;
         }
         co_await this->respond_unsure(exchange, changed.error());
         co_return;
     }
     log_event(event::job_cancelled, {{"job", call.job}});
-    co_await exchange.respond(make_text(200, "ended"));
+    co_await exchange.respond(net::make_text_response(200, "ended"));
 }
 
 } // namespace chicory::node
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -37,15 +37,6 @@
 /// Entry addresses in one answer.
 constexpr std::size_t entry_addresses = 8;
 
-net::http_response make_text(int status, std::string text)
-{
-    net::http_response response;
-    response.status = status;
-    response.headers["content-type"] = "text/plain";
-    response.body = std::move(text);
-    return response;
-}
-
 net::http_server_limits make_limits(const serving::caller_limits& source)
 {
     net::http_server_limits limits;
@@ -306,11 +297,12 @@
 {
     if (platform::path_of(exchange.head().target) != platform::readiness_path)
     {
-        co_await exchange.respond(make_text(status_not_found, "not found"));
+        co_await exchange.respond(
+            net::make_text_response(status_not_found, "not found"));
         co_return;
     }
     const bool ready = this->is_ready();
-    co_await exchange.respond(make_text(
+    co_await exchange.respond(net::make_text_response(
         ready ? 200 : status_unavailable, ready ? "ready" : "not ready"));
 }
 
@@ -320,7 +312,8 @@
     const std::string& target = exchange.head().target;
     if (platform::path_of(target) != platform::entry_addresses_path)
     {
-        co_await exchange.respond(make_text(status_not_found, "not found"));
+        co_await exchange.respond(
+            net::make_text_response(status_not_found, "not found"));
         co_return;
     }
     const platform::entry_question question =
@@ -411,8 +404,8 @@
             {{"request", terms.attempt_id},
              {"reason", std::string(name_of(reason::unknown_route))},
              {"revision", configuration->version}});
-        co_await exchange.respond(
-            make_text(status_not_found, "no route for this host and path"));
+        co_await exchange.respond(net::make_text_response(
+            status_not_found, "no route for this host and path"));
         co_return;
     }
     if (route->kind == serving::route_kind::batch)
@@ -435,7 +428,7 @@
         if (body.error().kind == error_kind::invalid_input)
         {
             co_await exchange.respond(
-                make_text(status_too_large, body.error().text));
+                net::make_text_response(status_too_large, body.error().text));
         }
         co_return;
     }
@@ -456,7 +449,7 @@
         {
             this->numbers.count_refusal(reason::body_too_large);
             co_await exchange.respond(
-                make_text(status_too_large, body.error().text));
+                net::make_text_response(status_too_large, body.error().text));
         }
         co_return;
     }
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -435,7 +435,7 @@
     if (!this->head_sent)
     {
         co_await this->exchange.respond(
-            platform::make_failure(status, name_of(why)));
+            net::make_text_response(status, std::string(name_of(why))));
     }
 }
 
--- a/servers/node/peer_exchange.cpp
+++ b/servers/node/peer_exchange.cpp
@@ -35,15 +35,6 @@
 constexpr std::chrono::milliseconds learn_interval(400);
 constexpr std::chrono::milliseconds learn_limit(500);
 
-net::http_response make_text(int status, std::string text)
-{
-    net::http_response response;
-    response.status = status;
-    response.headers["content-type"] = "text/plain";
-    response.body = std::move(text);
-    return response;
-}
-
 } // namespace
 
 peer_exchange::peer_exchange(
@@ -112,7 +103,8 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
-    co_await exchange.respond(make_text(status_not_found, "not found"));
+    co_await exchange.respond(
+        net::make_text_response(status_not_found, "not found"));
 }
 
 asio::awaitable<void> peer_exchange::pass_on(net::http_exchange& exchange)
@@ -139,7 +131,7 @@
     if (!answer)
     {
         const bool certain = answer.error().kind == error_kind::unavailable;
-        co_await exchange.respond(make_text(
+        co_await exchange.respond(net::make_text_response(
             certain ? status_unavailable : status_gateway_timeout,
             answer.error().text));
         co_return;
