Serving: Expect overdue runs to end, and serve late whom it let wait

Change: overdue runs are taken to end one after the other over half of the mean; a request is refused for being late only within a quarter of its time, later it is served late.

--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -549,16 +549,27 @@
 
 std::vector<time_point> slot_scheduler::online_ends(time_point now) const
 {
+    const duration mean(static_cast<std::int64_t>(this->mean_online_us));
     std::vector<time_point> ends;
+    std::int64_t overdue = 0;
     for (const auto& [id, run] : this->running)
     {
-        if (run.kind == work_kind::online)
+        if (run.kind != work_kind::online)
         {
-            const time_point end =
-                run.since +
-                duration(static_cast<std::int64_t>(this->mean_online_us));
-            ends.push_back(std::max(end, now));
+            continue;
+        }
+        if (run.since + mean <= now)
+        {
+            ++overdue;
+            continue;
         }
+        ends.push_back(run.since + mean);
+    }
+    // Nothing tells when a run that took longer than the mean will end; such
+    // runs are taken to end one after the other over half of the mean.
+    for (std::int64_t index = 1; index <= overdue; ++index)
+    {
+        ends.push_back(now + mean * index / (2 * overdue));
     }
     std::sort(ends.begin(), ends.end());
     return ends;
@@ -606,8 +617,14 @@
         const time_point begins = now +
                                   this->expected_wait(now, ends, position) +
                                   this->settings.first_piece;
-        const time_point limit =
-            waiting.returned ? waiting.gives_up_at : waiting.on_time_until;
+        // Who was let wait longer than this is served late rather than sent
+        // away: coming back would be late as well.
+        const time_point decided_by =
+            waiting.arrived + (waiting.on_time_until - waiting.arrived) /
+                                  this->settings.decision_share;
+        const time_point limit = waiting.returned || now > decided_by
+                                     ? waiting.gives_up_at
+                                     : waiting.on_time_until;
         if (begins <= limit)
         {
             ++position;
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -29,6 +29,9 @@
     duration report_slack = std::chrono::milliseconds(150);
     /// Time that a refused request is remembered.
     duration return_memory = std::chrono::seconds(10);
+    /// A request is refused for being late within this part of the time that
+    /// it has to be on time, or not at all.
+    std::int64_t decision_share = 4;
     /// Share of the time left that callers honour in `Retry-After`.
     double honoured_share = 1.0 / 3.0;
     /// A runner that failed gets one run at a time until one is completed,
@@ -59,8 +62,9 @@
 ///   without waiting for that.
 /// - Bursts beyond all slots: a request waits while it can still be on time;
 ///   else it is refused at once, to come back when slots are expected to be
-///   free. Times to come back are spread at the rate at which slots come
-///   free. Those who came back go first and are not refused again.
+///   free; one that was let wait is served late rather than refused. Times to
+///   come back are spread at the rate at which slots come free. Those who came
+///   back go first and are not refused again.
 /// - More batch work than fits: the earliest due first among the items that
 ///   `choose_put_off` keeps, then the others; these also leave their slots
 ///   first.
--- a/tests/drivers/http_platform_test.cpp
+++ b/tests/drivers/http_platform_test.cpp
@@ -132,7 +132,8 @@
         this->response.body = text;
         const auto body = [this]() -> asio::awaitable<void>
         {
-            result<std::vector<ports::listed_vm>> vms = co_await this->list->read();
+            result<std::vector<ports::listed_vm>> vms =
+                co_await this->list->read();
             EXPECT_FALSE(vms.has_value());
         };
         this->run(body);
--- a/tests/policy/serving/slot_scheduler_test.cpp
+++ b/tests/policy/serving/slot_scheduler_test.cpp
@@ -158,6 +158,42 @@
     EXPECT_EQ(this->scheduler.waiting(work_kind::online), 0U);
 }
 
+// Load pattern: a burst in which runs take longer than they used to.
+TEST_F(slot_scheduler_test, overdue_runs_do_not_hide_that_a_request_is_late)
+{
+    this->give_runners(1, 2);
+    this->scheduler.on_request(start, make_online(1));
+    this->scheduler.on_request(start, make_online(2));
+    const time_point later = start + 1400ms;
+    this->scheduler.on_report(
+        later, "a", 1, {}, {make_online(1), make_online(2)});
+    int refused = 0;
+    for (std::uint64_t number = 3; number <= 8; ++number)
+    {
+        refused += static_cast<int>(
+            of_kind(
+                this->scheduler.on_request(later, make_online(number)),
+                verdict_kind::refused)
+                .size());
+    }
+    EXPECT_EQ(refused, 5);
+    EXPECT_EQ(this->scheduler.waiting(work_kind::online), 1U);
+}
+
+TEST_F(slot_scheduler_test, who_was_let_wait_is_served_late_and_not_refused)
+{
+    this->give_runners(1, 1);
+    this->scheduler.on_request(start, make_online(1));
+    this->scheduler.on_request(start + 600ms, make_online(2));
+    ASSERT_EQ(this->scheduler.waiting(work_kind::online), 1U);
+    EXPECT_THAT(
+        of_kind(this->scheduler.on_tick(start + 1s), verdict_kind::refused),
+        ::testing::IsEmpty());
+    const auto verdicts = this->scheduler.on_release(
+        start + 1100ms, make_online(1).id, slot_outcome::completed);
+    EXPECT_EQ(of_kind(verdicts, verdict_kind::granted).size(), 1U);
+}
+
 TEST_F(slot_scheduler_test, spreads_the_times_at_which_refused_callers_return)
 {
     this->give_runners(1, 2);
