--- /dev/null
+++ b/tests/platform/document_fuzz_test.cpp
@@ -0,0 +1,103 @@
+#include "platform/platform.hpp"
+#include "tests/support/mutate.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace chicory::platform
+{
+
+namespace
+{
+
+/// Feeds damaged forms of a document to its reader, which must give a value
+/// or a typed error. Some of each are wanted, or the damage shows nothing.
+template <class Read>
+void damage(const std::string& whole, Read read)
+{
+    std::mt19937_64 generator(20261204);
+    std::uint64_t refused = 0;
+    std::uint64_t accepted = 0;
+    ASSERT_TRUE(read(whole).has_value());
+    for (std::uint64_t round = 0; round < testing_support::fuzz_rounds();
+         ++round)
+    {
+        const auto found = read(testing_support::mutate(whole, generator));
+        if (found)
+        {
+            ++accepted;
+            continue;
+        }
+        ASSERT_EQ(found.error().kind, error_kind::invalid_input);
+        ASSERT_FALSE(found.error().text.empty());
+        ++refused;
+    }
+    EXPECT_GT(refused, 0U);
+    EXPECT_GT(accepted, 0U);
+}
+
+} // namespace
+
+TEST(document_fuzz, damaged_configurations_end_in_a_value_or_a_typed_error)
+{
+    damage(
+        R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/x/",
+        "route_kind":"batch","timeout_ms":5000,"split":[{"service":"s",
+        "weight":90},{"service":"t","weight":10}],"max_attempts":2,
+        "retention_s":60.5,"max_count":100}],"services":[{"name":"s",
+        "engine":{"slots":8}}],"limits":{"max_header_bytes":16384}})",
+        [](const std::string& bytes)
+        {
+            return read_configuration(bytes);
+        });
+}
+
+TEST(document_fuzz, damaged_entries_of_runners_end_in_a_value_or_a_typed_error)
+{
+    damage(
+        R"({"service":"c","addr":"10.0.0.9:8080","zone":"z1","slots":8,
+        "state":"ready","born":1791261950012,"seq":4})",
+        [](const std::string& bytes)
+        {
+            ports::record source;
+            source.key = "i-1";
+            source.value = bytes;
+            return read_runner(source);
+        });
+}
+
+TEST(document_fuzz, damaged_submissions_end_in_a_value_or_a_typed_error)
+{
+    damage(
+        R"({"requests":[{"id":"e5","path":"/x/3","headers":{"X-Model":"m"},
+        "body":"q83vEjRWeJA=","tokens":940}]})",
+        [](const std::string& bytes)
+        {
+            return read_submission(bytes);
+        });
+}
+
+TEST(document_fuzz, damaged_targets_and_headers_do_no_harm)
+{
+    std::mt19937_64 generator(20261204);
+    for (std::uint64_t round = 0; round < testing_support::fuzz_rounds();
+         ++round)
+    {
+        const std::string target =
+            testing_support::mutate("/-/lots/7c?after=12&id=%41b+c", generator);
+        find_job_call("GET", target);
+        read_entry_question(target);
+        net::http_headers headers;
+        headers["x-deadline-ms"] = testing_support::mutate("5000", generator);
+        headers["x-token-counts"] =
+            testing_support::mutate("1460,80", generator);
+        headers["connection"] =
+            testing_support::mutate("keep-alive, x-hop", generator);
+        const caller_terms terms = read_caller_terms(headers);
+        ASSERT_FALSE(make_runner_headers(headers, {"i-1", terms.time_limit, ""})
+                         .empty());
+    }
+}
+
+} // namespace chicory::platform
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -148,6 +148,11 @@
     EXPECT_EQ(terms.output_tokens, 80);
     EXPECT_EQ(terms.poll_time, 1s);
     EXPECT_FALSE(read_caller_terms({{"x-deadline-ms", "soon"}}).time_limit);
+    // More milliseconds than a duration holds.
+    EXPECT_GT(
+        *read_caller_terms({{"x-deadline-ms", "9000000000000000000"}})
+             .time_limit,
+        duration(1h));
 }
 
 TEST(call_headers_test, only_a_stated_refusal_proves_that_nothing_ran)
--- /dev/null
+++ b/tests/wire/slot_packet_fuzz_test.cpp
@@ -0,0 +1,79 @@
+#include "tests/support/mutate.hpp"
+#include "wire/wire.hpp"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <random>
+
+namespace chicory::wire
+{
+
+namespace
+{
+
+std::vector<slot_packet> make_packets()
+{
+    serving::slot_request request;
+    request.id = {"vm-1", 7, 42};
+    request.service = "chat";
+    request.zone = "z1";
+    request.on_time_left = std::chrono::milliseconds(300);
+    request.excluded = {"i-1", "i-2"};
+    serving::held_slot held;
+    held.id = {"vm-1", 7, 41};
+    held.service = "chat";
+    held.runner = "i-3";
+    slot_report report{"chat", "vm-1", 7, {held}, {request}};
+    slot_release release{"chat", request.id, serving::slot_outcome::broken};
+    slot_verdicts verdicts{
+        "chat",
+        {{request.id,
+          serving::verdict_kind::refused,
+          "",
+          std::chrono::milliseconds(250)}}};
+    return {request, report, release, verdicts};
+}
+
+} // namespace
+
+TEST(slot_packet, survives_the_way)
+{
+    for (const slot_packet& packet : make_packets())
+    {
+        const std::string bytes = encode_slot_packet(packet);
+        const result<slot_packet> read = decode_slot_packet(bytes);
+        ASSERT_TRUE(read.has_value());
+        EXPECT_EQ(read.value().index(), packet.index());
+        EXPECT_EQ(encode_slot_packet(read.value()), bytes);
+    }
+    const result<slot_packet> request =
+        decode_slot_packet(encode_slot_packet(make_packets()[0]));
+    EXPECT_EQ(
+        std::get<serving::slot_request>(request.value()),
+        std::get<serving::slot_request>(make_packets()[0]));
+}
+
+TEST(slot_packet_fuzz, damaged_packets_end_in_a_packet_or_a_typed_error)
+{
+    std::mt19937_64 generator(20261204);
+    std::uint64_t refused = 0;
+    for (const slot_packet& packet : make_packets())
+    {
+        const std::string whole = encode_slot_packet(packet);
+        for (std::uint64_t round = 0; round < testing_support::fuzz_rounds();
+             ++round)
+        {
+            const result<slot_packet> read =
+                decode_slot_packet(testing_support::mutate(whole, generator));
+            if (!read)
+            {
+                ASSERT_EQ(read.error().kind, error_kind::invalid_input);
+                ++refused;
+            }
+        }
+    }
+    EXPECT_GT(refused, 0U);
+}
+
+} // namespace chicory::wire
