Node: Read a job's items in one place, and share one set of services

Cause: two calls about jobs each loaded and parsed the submission, and the one for an item's body took a submission that cannot be read for a job without the item (status 404). The services of online calls and of items were one struct under two names; item_progress::restart was called by nobody. Change: job_front::find_items serves both calls; an unreadable submission is answered as unsure (503) by both. run_services takes the place of the two structs; the dead function is gone.

--- a/policy/serving/item_progress.cpp
+++ b/policy/serving/item_progress.cpp
@@ -77,11 +77,6 @@
     return this->count;
 }
 
-void item_progress::restart()
-{
-    *this = item_progress();
-}
-
 failure_verdict
 judge_failures(const item_failures& failures, std::int64_t max_attempts)
 {
--- a/policy/serving/item_progress.hpp
+++ b/policy/serving/item_progress.hpp
@@ -36,9 +36,6 @@
 
     std::int64_t events() const;
 
-    /// Forgets everything, for a run from the start.
-    void restart();
-
 private:
     event_splitter splitter;
     std::string joined;
--- a/servers/node/item_run.cpp
+++ b/servers/node/item_run.cpp
@@ -36,7 +36,7 @@
 
 item_run::item_run(
     asio::io_context& io,
-    item_services shared_services,
+    run_services shared_services,
     const platform::job_item& its_item,
     std::string its_job,
     std::string route_name,
--- a/servers/node/item_run.hpp
+++ b/servers/node/item_run.hpp
@@ -3,9 +3,7 @@
 
 #include "platform/platform.hpp"
 #include "policy/serving/serving.hpp"
-#include "servers/node/fleet_knowledge.hpp"
-#include "servers/node/runner_caller.hpp"
-#include "servers/node/slot_client.hpp"
+#include "servers/node/run_services.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -30,15 +28,6 @@
     stopped,
 };
 
-/// What item runs of a node share.
-struct item_services
-{
-    fleet_knowledge& knowledge;
-    slot_client& slots;
-    runner_caller& runners;
-    metrics& numbers;
-};
-
 /// Runs one item until it ends: gets a slot, sends the item, and goes on
 /// elsewhere with the text so far when it has to yield or a runner is lost.
 class item_run
@@ -46,7 +35,7 @@
 public:
     item_run(
         boost::asio::io_context& io,
-        item_services shared_services,
+        run_services shared_services,
         const platform::job_item& its_item,
         std::string its_job,
         std::string route_name,
@@ -84,7 +73,7 @@
     boost::asio::awaitable<void> pause(duration length);
 
     boost::asio::io_context& context;
-    item_services services;
+    run_services services;
     const platform::job_item& item;
     std::string job;
     std::string route;
--- a/servers/node/job_front.cpp
+++ b/servers/node/job_front.cpp
@@ -150,6 +150,28 @@
         platform::make_refusal(unavailable_retry, failure.text));
 }
 
+asio::awaitable<result<std::vector<platform::job_item>>>
+job_front::find_items(std::string job)
+{
+    if (const std::vector<platform::job_item>* running =
+            this->runner.find_items(job))
+    {
+        co_return *running;
+    }
+    const result<std::string> body = co_await this->ledger.read_body(job);
+    if (!body)
+    {
+        co_return body.error();
+    }
+    result<std::vector<platform::job_item>> read =
+        platform::read_submission(body.value());
+    if (!read)
+    {
+        co_return make_error(error_kind::unavailable, read.error().text);
+    }
+    co_return read;
+}
+
 asio::awaitable<result<std::vector<std::string>>>
 job_front::find_item_ids(std::string job)
 {
@@ -158,29 +180,14 @@
     {
         co_return known->second;
     }
-    std::vector<platform::job_item> items;
-    if (const std::vector<platform::job_item>* running =
-            this->runner.find_items(job))
+    const result<std::vector<platform::job_item>> items =
+        co_await this->find_items(job);
+    if (!items)
     {
-        items = *running;
-    }
-    else
-    {
-        const result<std::string> body = co_await this->ledger.read_body(job);
-        if (!body)
-        {
-            co_return body.error();
-        }
-        result<std::vector<platform::job_item>> read =
-            platform::read_submission(body.value());
-        if (!read)
-        {
-            co_return make_error(error_kind::unavailable, read.error().text);
-        }
-        items = std::move(read.value());
+        co_return items.error();
     }
     std::vector<std::string> ids;
-    for (const platform::job_item& item : items)
+    for (const platform::job_item& item : items.value())
     {
         ids.push_back(item.id);
     }
@@ -285,27 +292,14 @@
             co_return;
         }
     }
-    const std::vector<platform::job_item>* items =
-        this->runner.find_items(call.job);
-    std::vector<platform::job_item> read;
-    if (items == nullptr)
+    const result<std::vector<platform::job_item>> items =
+        co_await this->find_items(call.job);
+    if (!items)
     {
-        const result<std::string> body =
-            co_await this->ledger.read_body(call.job);
-        if (!body)
-        {
-            co_await this->respond_unsure(exchange, body.error());
-            co_return;
-        }
-        result<std::vector<platform::job_item>> parsed =
-            platform::read_submission(body.value());
-        if (parsed)
-        {
-            read = std::move(parsed.value());
-        }
-        items = &read;
+        co_await this->respond_unsure(exchange, items.error());
+        co_return;
     }
-    for (const platform::job_item& item : *items)
+    for (const platform::job_item& item : items.value())
     {
         if (item.id == call.item)
         {
--- a/servers/node/job_front.hpp
+++ b/servers/node/job_front.hpp
@@ -47,6 +47,9 @@
     end(net::http_exchange& exchange, const platform::job_call& call);
     boost::asio::awaitable<void>
     respond_unsure(net::http_exchange& exchange, const error& failure);
+    /// Returns a job's items in order. Errors: unavailable, not_found.
+    boost::asio::awaitable<result<std::vector<platform::job_item>>>
+    find_items(std::string job);
     /// Returns the ids of a job's items in order.
     boost::asio::awaitable<result<std::vector<std::string>>>
     find_item_ids(std::string job);
--- a/servers/node/job_runner.cpp
+++ b/servers/node/job_runner.cpp
@@ -40,7 +40,7 @@
 
 job_runner::job_runner(
     asio::io_context& io,
-    item_services shared_services,
+    run_services shared_services,
     job_ledger& its_ledger,
     std::string vm_id,
     incarnation_hook its_incarnation,
--- a/servers/node/job_runner.hpp
+++ b/servers/node/job_runner.hpp
@@ -32,7 +32,7 @@
 
     job_runner(
         boost::asio::io_context& io,
-        item_services shared_services,
+        run_services shared_services,
         job_ledger& its_ledger,
         std::string vm_id,
         incarnation_hook its_incarnation,
@@ -99,7 +99,7 @@
 
     boost::asio::io_context& context;
     boost::asio::steady_timer timer;
-    item_services services;
+    run_services services;
     job_ledger& ledger;
     std::string self;
     incarnation_hook own_incarnation;
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -455,7 +455,7 @@
     }
     const auto call = std::make_shared<online_call>(
         this->context,
-        online_services{
+        run_services{
             this->knowledge, this->slots, this->runners, this->numbers},
         std::move(configuration),
         route,
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -30,7 +30,7 @@
 
 online_call::online_call(
     asio::io_context& io,
-    online_services shared_services,
+    run_services shared_services,
     std::shared_ptr<const serving::serving_configuration> in_force,
     const serving::serving_route& its_route,
     net::http_exchange& caller,
--- a/servers/node/online_call.hpp
+++ b/servers/node/online_call.hpp
@@ -1,9 +1,7 @@
 #ifndef CHICORY_SERVERS_NODE_ONLINE_CALL_HPP
 #define CHICORY_SERVERS_NODE_ONLINE_CALL_HPP
 
-#include "servers/node/fleet_knowledge.hpp"
-#include "servers/node/runner_caller.hpp"
-#include "servers/node/slot_client.hpp"
+#include "servers/node/run_services.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -15,15 +13,6 @@
 namespace chicory::node
 {
 
-/// What online calls of a node share.
-struct online_services
-{
-    fleet_knowledge& knowledge;
-    slot_client& slots;
-    runner_caller& runners;
-    metrics& numbers;
-};
-
 /// One request of a caller on its way: gets a slot, sends the request to the
 /// runner, and passes the answer on as it comes. What may have run is sent
 /// again only where the route allows that.
@@ -34,7 +23,7 @@
     /// routes.
     online_call(
         boost::asio::io_context& io,
-        online_services shared_services,
+        run_services shared_services,
         std::shared_ptr<const serving::serving_configuration> in_force,
         const serving::serving_route& its_route,
         net::http_exchange& caller,
@@ -71,7 +60,7 @@
     void note_first_piece();
     void release(const slot_answer& slot, serving::slot_outcome outcome);
 
-    online_services services;
+    run_services services;
     std::shared_ptr<const serving::serving_configuration> configuration;
     const serving::serving_route& route;
     net::http_exchange& exchange;
--- /dev/null
+++ b/servers/node/run_services.hpp
@@ -0,0 +1,23 @@
+#ifndef CHICORY_SERVERS_NODE_RUN_SERVICES_HPP
+#define CHICORY_SERVERS_NODE_RUN_SERVICES_HPP
+
+#include "core/core.hpp"
+#include "servers/node/fleet_knowledge.hpp"
+#include "servers/node/runner_caller.hpp"
+#include "servers/node/slot_client.hpp"
+
+namespace chicory::node
+{
+
+/// What the online calls and the items of a node share to run at runners.
+struct run_services
+{
+    fleet_knowledge& knowledge;
+    slot_client& slots;
+    runner_caller& runners;
+    metrics& numbers;
+};
+
+} // namespace chicory::node
+
+#endif
