Slot scheduler: Look only at what can change

Cause: with all slots taken, each packet made the coordinator look for a slot and for a leaving item for every waiting request; on a VM with an eighth of a core it fell behind, callers went over to other coordinators, and several gave out the same slots. Change: the first request that finds nothing ends the search for all that could find no more; batch runs are kept by themselves; a node's entries are found by range; lateness is judged when a request comes and at ticks.

--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "policy/serving/slot_scheduler.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -18,6 +19,30 @@
     mean = mean == 0.0 ? value : mean + mean_weight * (value - mean);
 }
 
+/// Sorts by rank, then time; ids decide between equals, so that the order does
+/// not depend on addresses.
+std::vector<const slot_id*>
+sort_ids(std::vector<std::tuple<int, time_point, const slot_id*>> order)
+{
+    std::sort(
+        order.begin(),
+        order.end(),
+        [](const auto& left, const auto& right)
+        {
+            const auto& [left_rank, left_time, left_id] = left;
+            const auto& [right_rank, right_time, right_id] = right;
+            return std::tie(left_rank, left_time, *left_id) <
+                   std::tie(right_rank, right_time, *right_id);
+        });
+    std::vector<const slot_id*> ids;
+    ids.reserve(order.size());
+    for (const auto& [rank, time, id] : order)
+    {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
 } // namespace
 
 slot_scheduler::slot_scheduler(slot_scheduler_settings initial)
@@ -64,24 +89,21 @@
 
 void slot_scheduler::drop_node(const std::string& node, std::uint64_t before)
 {
+    const slot_id first = {node, 0, 0};
+    const slot_id end = {node, before, 0};
     std::vector<slot_id> lost;
-    for (const auto& [id, run] : this->running)
+    for (auto run = this->running.lower_bound(first);
+         run != this->running.end() && run->first < end;
+         ++run)
     {
-        if (id.node == node && id.incarnation < before)
-        {
-            lost.push_back(id);
-        }
+        lost.push_back(run->first);
     }
     for (const slot_id& id : lost)
     {
         this->remove_running(id);
     }
-    std::erase_if(
-        this->queue,
-        [&node, before](const auto& item)
-        {
-            return item.first.node == node && item.first.incarnation < before;
-        });
+    this->queue.erase(
+        this->queue.lower_bound(first), this->queue.lower_bound(end));
 }
 
 void slot_scheduler::add_running(
@@ -96,6 +118,10 @@
     run.runner = runner;
     run.since = since;
     this->running[id] = run;
+    if (kind == work_kind::batch)
+    {
+        this->batch_runs.insert(id);
+    }
     runner_use& use = this->runners[runner];
     if (use.runner.id.empty())
     {
@@ -117,6 +143,7 @@
     {
         --use->second.used;
     }
+    this->batch_runs.erase(id);
     this->running.erase(found);
 }
 
@@ -156,6 +183,7 @@
     {
         this->add_waiting(now, request);
         this->dispatch(out, now);
+        this->refuse_late(out, now);
     }
     if (this->queue.contains(request.id))
     {
@@ -251,28 +279,38 @@
             this->add_waiting(now, request);
         }
     }
+    this->drop_unnamed(now, node, named);
+    this->dispatch(out, now);
+    return out;
+}
+
+void slot_scheduler::drop_unnamed(
+    time_point now, const std::string& node, const std::set<slot_id>& named)
+{
+    const slot_id first = {node, 0, 0};
     std::vector<slot_id> ended;
-    for (const auto& [id, run] : this->running)
+    for (auto run = this->running.lower_bound(first);
+         run != this->running.end() && run->first.node == node;
+         ++run)
     {
-        if (id.node == node && !named.contains(id) &&
-            now - run.since > this->settings.report_slack)
+        if (!named.contains(run->first) &&
+            now - run->second.since > this->settings.report_slack)
         {
-            ended.push_back(id);
+            ended.push_back(run->first);
         }
     }
     for (const slot_id& id : ended)
     {
         this->remove_running(id);
     }
-    std::erase_if(
-        this->queue,
-        [&](const auto& item)
-        {
-            return item.first.node == node && !named.contains(item.first) &&
-                   now - item.second.arrived > this->settings.report_slack;
-        });
-    this->dispatch(out, now);
-    return out;
+    for (auto waiting = this->queue.lower_bound(first);
+         waiting != this->queue.end() && waiting->first.node == node;)
+    {
+        const bool ended_there =
+            !named.contains(waiting->first) &&
+            now - waiting->second.arrived > this->settings.report_slack;
+        waiting = ended_there ? this->queue.erase(waiting) : std::next(waiting);
+    }
 }
 
 bool slot_scheduler::may_use(
@@ -322,11 +360,11 @@
     std::optional<slot_id> best;
     // Items that were put off leave first, then those that are due last.
     std::tuple<bool, bool, time_point, time_point> best_rank;
-    for (const auto& [id, run] : this->running)
+    for (const slot_id& id : this->batch_runs)
     {
+        const running_slot& run = this->running.at(id);
         const bool is_put_off = this->put_off.contains(id);
-        if (run.kind != work_kind::batch || run.yielding ||
-            (only_put_off && !is_put_off))
+        if (only_put_off && !is_put_off)
         {
             continue;
         }
@@ -366,6 +404,7 @@
     running_slot& run = this->running.at(*leaving);
     runner_use& use = this->runners.at(run.runner);
     run.yielding = true;
+    this->batch_runs.erase(*leaving);
     --use.used;
     out.push_back(
         {*leaving, verdict_kind::yield, run.runner, duration::zero()});
@@ -409,7 +448,7 @@
 }
 
 void slot_scheduler::grant(
-    verdicts& out, time_point now, const slot_id& id, runner_use& use)
+    verdicts& out, time_point now, slot_id id, runner_use& use)
 {
     const auto found = this->queue.find(id);
     const work_kind kind = found->second.request.kind;
@@ -429,9 +468,9 @@
     out.push_back({id, verdict_kind::granted, use.runner.id, duration::zero()});
 }
 
-std::vector<slot_id> slot_scheduler::order_online(time_point now)
+std::vector<const slot_id*> slot_scheduler::order_online(time_point now)
 {
-    std::vector<std::tuple<int, time_point, slot_id>> order;
+    std::vector<std::tuple<int, time_point, const slot_id*>> order;
     for (auto entry = this->online_queue.begin();
          entry != this->online_queue.end();)
     {
@@ -445,55 +484,53 @@
         const bool late =
             waiting.on_time_until < now + this->settings.first_piece;
         const int rank = waiting.returned ? 0 : (late ? 2 : 1);
-        order.emplace_back(rank, waiting.arrived, *entry);
+        order.emplace_back(rank, waiting.arrived, &found->first);
         ++entry;
     }
-    std::sort(order.begin(), order.end());
-    std::vector<slot_id> ids;
-    ids.reserve(order.size());
-    for (auto& [rank, arrived, id] : order)
-    {
-        ids.push_back(std::move(id));
-    }
-    return ids;
+    return sort_ids(std::move(order));
 }
 
-std::vector<slot_id> slot_scheduler::order_batch() const
+std::vector<const slot_id*> slot_scheduler::order_batch() const
 {
-    std::vector<std::tuple<bool, time_point, slot_id>> order;
+    std::vector<std::tuple<int, time_point, const slot_id*>> order;
     for (const auto& [id, waiting] : this->queue)
     {
         if (waiting.request.kind == work_kind::batch)
         {
             order.emplace_back(
-                this->put_off.contains(id), waiting.on_time_until, id);
+                this->put_off.contains(id) ? 1 : 0, waiting.on_time_until, &id);
         }
     }
-    std::sort(order.begin(), order.end());
-    std::vector<slot_id> ids;
-    ids.reserve(order.size());
-    for (auto& [late, due, id] : order)
-    {
-        ids.push_back(std::move(id));
-    }
-    return ids;
+    return sort_ids(std::move(order));
 }
 
 void slot_scheduler::dispatch_online(verdicts& out, time_point now)
 {
-    for (const slot_id& id : this->order_online(now))
+    // What a request finds free, one that excludes no runner and may be
+    // repeated finds too. Of a queue without slots, only few are looked at.
+    bool repeatable_may_find = true;
+    bool others_may_find = true;
+    for (const slot_id* id : this->order_online(now))
     {
-        const slot_request request = this->queue.at(id).request;
+        const slot_request& request = this->queue.at(*id).request;
+        if (!(request.repeatable ? repeatable_may_find : others_may_find))
+        {
+            continue;
+        }
         runner_use* free = this->choose_free(now, request);
         if (free == nullptr)
         {
             free = this->make_room(out, now, request, false);
         }
-        if (free == nullptr)
+        if (free != nullptr)
         {
-            continue;
+            this->grant(out, now, *id, *free);
+        }
+        else if (request.excluded.empty())
+        {
+            others_may_find = false;
+            repeatable_may_find = repeatable_may_find && !request.repeatable;
         }
-        this->grant(out, now, id, *free);
     }
 }
 
@@ -530,18 +567,18 @@
     {
         return;
     }
-    for (const slot_id& id : this->order_batch())
+    for (const slot_id* id : this->order_batch())
     {
-        const slot_request request = this->queue.at(id).request;
+        const slot_request& request = this->queue.at(*id).request;
         runner_use* free = idle > 0 ? this->choose_free(now, request) : nullptr;
         idle -= free != nullptr ? 1 : 0;
-        if (free == nullptr && may_displace && !this->put_off.contains(id))
+        if (free == nullptr && may_displace && !this->put_off.contains(*id))
         {
             free = this->make_room(out, now, request, true);
         }
         if (free != nullptr)
         {
-            this->grant(out, now, id, *free);
+            this->grant(out, now, *id, *free);
         }
         else if (request.excluded.empty())
         {
@@ -557,7 +594,6 @@
     if (!this->online_queue.empty())
     {
         this->dispatch_online(out, now);
-        this->refuse_late(out, now);
     }
     this->dispatch_batch(out, now, planned);
 }
@@ -624,11 +660,16 @@
 
 void slot_scheduler::refuse_late(verdicts& out, time_point now)
 {
+    if (this->online_queue.empty())
+    {
+        return;
+    }
     std::size_t position = 0;
     const std::vector<time_point> ends = this->online_ends(now);
-    for (const slot_id& id : this->order_online(now))
+    for (const slot_id* id : this->order_online(now))
     {
-        const waiting_request& waiting = this->queue.at(id);
+        const auto found = this->queue.find(*id);
+        const waiting_request& waiting = found->second;
         const time_point begins = now +
                                   this->expected_wait(now, ends, position) +
                                   this->settings.first_piece;
@@ -651,8 +692,8 @@
             this->refused[waiting.request.request_digest] =
                 now + this->settings.return_memory;
         }
-        this->queue.erase(id);
-        out.push_back({id, verdict_kind::refused, "", back});
+        out.push_back({*id, verdict_kind::refused, "", back});
+        this->queue.erase(found);
     }
 }
 
@@ -679,6 +720,7 @@
             return item.second < now;
         });
     this->dispatch(out, now);
+    this->refuse_late(out, now);
     return out;
 }
 
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -152,6 +152,11 @@
     void
     hear(time_point now, const std::string& node, std::uint64_t incarnation);
     void drop_node(const std::string& node, std::uint64_t before);
+    /// Drops what a node had and no longer reports.
+    void drop_unnamed(
+        time_point now,
+        const std::string& node,
+        const std::set<slot_id>& named);
     void add_running(
         const slot_id& id,
         work_kind kind,
@@ -176,8 +181,7 @@
     std::int64_t idle_slots() const;
     std::int64_t reserved_slots(time_point now);
     std::vector<time_point> online_ends(time_point now) const;
-    void
-    grant(verdicts& out, time_point now, const slot_id& id, runner_use& use);
+    void grant(verdicts& out, time_point now, slot_id id, runner_use& use);
     void dispatch_online(verdicts& out, time_point now);
     void dispatch_batch(verdicts& out, time_point now, bool may_displace);
     void dispatch(verdicts& out, time_point now);
@@ -187,12 +191,15 @@
         const std::vector<time_point>& ends,
         std::size_t position) const;
     duration choose_return(time_point now, const waiting_request& refused);
-    std::vector<slot_id> order_online(time_point now);
-    std::vector<slot_id> order_batch() const;
+    /// Ids of what waits, first to be served first; they point into `queue`.
+    std::vector<const slot_id*> order_online(time_point now);
+    std::vector<const slot_id*> order_batch() const;
 
     slot_scheduler_settings settings;
     std::map<std::string, runner_use> runners;
     std::map<slot_id, running_slot> running;
+    /// Batch runs that were not told to leave.
+    std::set<slot_id> batch_runs;
     std::map<slot_id, waiting_request> queue;
     /// Online requests of the queue; some may have left it already.
     std::set<slot_id> online_queue;
