Node: Let large VMs coordinate

Cause: a deployment mixes VMs of half a core and 512 MB with VMs of an eighth of a core and 160 MB. A small one took 400 to 800 ms of each second for a coordinator's packets in bursts; nodes then went over to other coordinators, which do not know of each other's slots. Change: nodes tell their memory by gossip and in their record, and candidates are ordered by it, to a power of two, before the hash. The order is kept for 20 ms instead of being made for each packet.

--- a/policy/membership/rumor.cpp
+++ b/policy/membership/rumor.cpp
@@ -71,6 +71,7 @@
         details.batch_port,
         details.gossip_port);
     save(archive, details.service);
+    archive(details.memory_mb);
 }
 
 void load(input& archive, vm& details)
@@ -85,6 +86,7 @@
         details.batch_port,
         details.gossip_port);
     load(archive, details.service);
+    archive(details.memory_mb);
 }
 
 void save(output& archive, const rumor& value)
@@ -194,8 +196,8 @@
     std::size_t size = 1 + value.id.size() + 8 + 4 + 1 + 1;
     if (value.details)
     {
-        // Role, four ports and the lengths of four strings.
-        size += 1 + 8 + 4;
+        // Role, four ports, memory and the lengths of four strings.
+        size += 1 + 8 + 4 + 4;
         size += value.details->region.size() + value.details->zone.size();
         size += value.details->address.size() + value.details->service.size();
     }
--- a/policy/membership/vm.hpp
+++ b/policy/membership/vm.hpp
@@ -61,6 +61,8 @@
     std::uint16_t gossip_port = 0;
     /// Service label of a runner.
     std::string service;
+    /// Memory of an entry VM in MB; zero when unknown.
+    std::uint32_t memory_mb = 0;
 
     bool operator==(const vm&) const = default;
 };
--- a/policy/serving/coordinator_choice.cpp
+++ b/policy/serving/coordinator_choice.cpp
@@ -1,18 +1,20 @@
 #include "policy/serving/coordinator_choice.hpp"
 
 #include <algorithm>
+#include <bit>
 #include <cstdint>
+#include <tuple>
 #include <utility>
 
 namespace chicory::serving
 {
 
-std::vector<std::string> order_coordinators(
-    const std::string& service, const std::vector<std::string>& nodes)
+std::vector<std::string>
+order_nodes(const std::string& key, const std::vector<std::string>& nodes)
 {
     std::vector<std::pair<std::uint64_t, std::string>> ranked;
     ranked.reserve(nodes.size());
-    const std::uint64_t seed = hash_bytes(service);
+    const std::uint64_t seed = hash_bytes(key);
     for (const std::string& node : nodes)
     {
         ranked.emplace_back(hash_bytes(node, seed), node);
@@ -27,6 +29,28 @@
     return order;
 }
 
+std::vector<std::string> order_coordinators(
+    const std::string& service, const std::vector<live_node>& nodes)
+{
+    std::vector<std::tuple<int, std::uint64_t, std::string>> ranked;
+    ranked.reserve(nodes.size());
+    const std::uint64_t seed = hash_bytes(service);
+    for (const live_node& node : nodes)
+    {
+        // Sizes within a power of two count as equal.
+        ranked.emplace_back(
+            std::bit_width(node.memory_mb), hash_bytes(node.id, seed), node.id);
+    }
+    std::sort(ranked.rbegin(), ranked.rend());
+    std::vector<std::string> order;
+    order.reserve(ranked.size());
+    for (auto& [size, rank, node] : ranked)
+    {
+        order.push_back(std::move(node));
+    }
+    return order;
+}
+
 coordinator_contact::coordinator_contact(coordinator_contact_settings initial)
     : settings(initial)
 {
--- a/policy/serving/coordinator_choice.hpp
+++ b/policy/serving/coordinator_choice.hpp
@@ -2,6 +2,7 @@
 #define CHICORY_POLICY_SERVING_COORDINATOR_CHOICE_HPP
 
 #include "core/core.hpp"
+#include "policy/serving/job_ownership.hpp"
 
 #include <chrono>
 #include <map>
@@ -12,11 +13,17 @@
 namespace chicory::serving
 {
 
-/// Orders nodes for a service by rendezvous hashing: the first that can be
-/// reached coordinates the service's slots. The same nodes give the same
+/// Orders nodes for a key by rendezvous hashing. The same nodes give the same
 /// order everywhere.
+std::vector<std::string>
+order_nodes(const std::string& key, const std::vector<std::string>& nodes);
+
+/// Orders nodes for a service: the first that can be reached coordinates the
+/// service's slots. Large VMs go first: a VM's memory and its share of a
+/// processor grow together, and only the memory can be read. Answers the load
+/// pattern of a burst that one small VM's processor cannot decide on in time.
 std::vector<std::string> order_coordinators(
-    const std::string& service, const std::vector<std::string>& nodes);
+    const std::string& service, const std::vector<live_node>& nodes);
 
 /// Times by which a coordinator is taken for silent.
 struct coordinator_contact_settings
--- a/policy/serving/job_ownership.cpp
+++ b/policy/serving/job_ownership.cpp
@@ -53,7 +53,7 @@
     {
         names.push_back(node.id);
     }
-    const std::vector<std::string> order = order_coordinators(job.id, names);
+    const std::vector<std::string> order = order_nodes(job.id, names);
     return now - missed >= takeover_delay && !order.empty() &&
            order.front() == this->self.id;
 }
--- a/policy/serving/job_ownership.hpp
+++ b/policy/serving/job_ownership.hpp
@@ -17,6 +17,8 @@
 {
     std::string id;
     std::uint64_t incarnation = 0;
+    /// Memory of the VM in MB; zero when unknown.
+    std::uint32_t memory_mb = 0;
 };
 
 /// Decides when this node takes over a job. Answers the load patterns of
--- a/servers/node/node_members.cpp
+++ b/servers/node/node_members.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include <unistd.h>
+
 #include <chrono>
 #include <utility>
 
@@ -26,6 +28,19 @@
 constexpr std::chrono::seconds read_interval(5);
 constexpr std::chrono::milliseconds retry_interval(300);
 
+/// Returns the memory of this VM, or zero where the system does not tell.
+std::uint32_t read_memory_mb()
+{
+    constexpr std::int64_t megabyte = 1024 * 1024;
+    const std::int64_t pages = sysconf(_SC_PHYS_PAGES);
+    const std::int64_t page_bytes = sysconf(_SC_PAGESIZE);
+    if (pages <= 0 || page_bytes <= 0)
+    {
+        return 0;
+    }
+    return static_cast<std::uint32_t>(pages * page_bytes / megabyte);
+}
+
 membership::vm make_self(const node_settings& settings, std::uint64_t started)
 {
     membership::vm vm;
@@ -40,6 +55,7 @@
     vm.link_port = settings.slot_port;
     vm.batch_port = settings.peer_port;
     vm.gossip_port = settings.gossip_port;
+    vm.memory_mb = read_memory_mb();
     return vm;
 }
 
@@ -55,7 +71,8 @@
         {"http_port", vm.http_port},
         {"slot_port", vm.link_port},
         {"peer_port", vm.batch_port},
-        {"gossip_port", vm.gossip_port}});
+        {"gossip_port", vm.gossip_port},
+        {"memory_mb", vm.memory_mb}});
 }
 
 std::optional<membership::vm> read_vm(const ports::record& source)
@@ -79,6 +96,7 @@
         vm.link_port = fields.at("slot_port").to_number<std::uint16_t>();
         vm.batch_port = fields.at("peer_port").to_number<std::uint16_t>();
         vm.gossip_port = fields.at("gossip_port").to_number<std::uint16_t>();
+        vm.memory_mb = fields.at("memory_mb").to_number<std::uint32_t>();
         return vm;
     }
     catch (const std::exception&)
@@ -213,12 +231,14 @@
         if (record.details.role == membership::vm_role::entry &&
             id != this->self.id && state == membership::vm_state::alive)
         {
-            live.push_back({id, record.what.incarnation});
+            live.push_back(
+                {id, record.what.incarnation, record.details.memory_mb});
         }
     }
     if (!this->leaving)
     {
-        live.push_back({this->self.id, this->incarnation()});
+        live.push_back(
+            {this->self.id, this->incarnation(), this->self.memory_mb});
     }
     return live;
 }
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -104,12 +104,7 @@
            },
            [this]
            {
-               std::vector<std::string> names;
-               for (const serving::live_node& node : this->members.live_nodes())
-               {
-                   names.push_back(node.id);
-               }
-               return names;
+               return this->members.live_nodes();
            }}),
       runners(io.get_executor(), this->knowledge),
       jobs(
--- a/servers/node/slot_client.cpp
+++ b/servers/node/slot_client.cpp
@@ -23,6 +23,9 @@
 constexpr std::chrono::milliseconds batch_tick_interval(400);
 /// Time after which a request that was not answered is sent again.
 constexpr std::chrono::milliseconds repeat_interval(40);
+/// Time for which an order of coordinators is used again; short beside the
+/// time after which a silent one is avoided.
+constexpr std::chrono::milliseconds order_lifetime(20);
 /// Time between two reports of all slots in use.
 constexpr std::chrono::milliseconds report_interval(250);
 
@@ -55,11 +58,23 @@
     this->tick();
 }
 
+const std::vector<std::string>&
+slot_client::coordinators(time_point now, const std::string& service)
+{
+    known_order& known = this->orders[service];
+    if (known.nodes.empty() || now - known.read_at > duration(order_lifetime))
+    {
+        known.nodes =
+            serving::order_coordinators(service, this->io_hooks.live_nodes());
+        known.read_at = now;
+    }
+    return known.nodes;
+}
+
 std::optional<std::string>
 slot_client::find_coordinator(time_point now, const std::string& service)
 {
-    for (const std::string& node :
-         serving::order_coordinators(service, this->io_hooks.live_nodes()))
+    for (const std::string& node : this->coordinators(now, service))
     {
         if (node == this->self || this->contact.is_answering(now, node))
         {
--- a/servers/node/slot_client.hpp
+++ b/servers/node/slot_client.hpp
@@ -77,7 +77,7 @@
         /// Sends a packet to a node, this one included.
         std::function<void(const std::string&, const wire::slot_packet&)> send;
         /// Returns the nodes that may coordinate.
-        std::function<std::vector<std::string>()> live_nodes;
+        std::function<std::vector<serving::live_node>()> live_nodes;
     };
 
     slot_client(
@@ -128,7 +128,16 @@
         bool must_yield = false;
     };
 
+    /// The nodes that may coordinate a service, as of a moment ago.
+    struct known_order
+    {
+        std::vector<std::string> nodes;
+        time_point read_at;
+    };
+
     void tick();
+    const std::vector<std::string>&
+    coordinators(time_point now, const std::string& service);
     std::optional<std::string>
     find_coordinator(time_point now, const std::string& service);
     void ask(time_point now, pending_wish& pending);
@@ -145,6 +154,7 @@
     std::uint64_t incarnation = 0;
     hooks io_hooks;
     serving::coordinator_contact contact;
+    std::map<std::string, known_order> orders;
     std::map<std::uint64_t, std::shared_ptr<pending_wish>> wishes;
     std::map<std::uint64_t, used_slot> used;
     /// Services whose last report named slots or wishes.
--- a/tests/policy/serving/serving_test.cpp
+++ b/tests/policy/serving/serving_test.cpp
@@ -158,12 +158,41 @@
 TEST(coordinator_choice_test, all_nodes_agree_and_few_services_move)
 {
     const std::vector<std::string> nodes = {"a", "b", "c", "d"};
-    const std::vector<std::string> order = order_coordinators("chat", nodes);
+    const std::vector<std::string> order = order_nodes("chat", nodes);
     const std::vector<std::string> shuffled = {"d", "b", "a", "c"};
-    EXPECT_EQ(order, order_coordinators("chat", shuffled));
+    EXPECT_EQ(order, order_nodes("chat", shuffled));
     std::vector<std::string> fewer = nodes;
     std::erase(fewer, order.back());
-    EXPECT_EQ(order_coordinators("chat", fewer).front(), order.front());
+    EXPECT_EQ(order_nodes("chat", fewer).front(), order.front());
+}
+
+TEST(coordinator_choice_test, large_vms_coordinate_while_one_is_there)
+{
+    std::vector<live_node> nodes;
+    for (int index = 0; index < 40; ++index)
+    {
+        nodes.push_back({"small-" + std::to_string(index), 1, 160});
+    }
+    nodes.push_back({"large-1", 1, 512});
+    nodes.push_back({"large-2", 1, 514});
+    const std::vector<std::string> order = order_coordinators("chat", nodes);
+    EXPECT_THAT(order.at(0), ::testing::StartsWith("large"));
+    EXPECT_THAT(order.at(1), ::testing::StartsWith("large"));
+    EXPECT_THAT(order.at(2), ::testing::StartsWith("small"));
+    std::vector<live_node> shuffled(nodes.rbegin(), nodes.rend());
+    EXPECT_EQ(order, order_coordinators("chat", shuffled));
+}
+
+TEST(coordinator_choice_test, vms_of_nearly_one_size_share_the_services)
+{
+    const std::vector<live_node> nodes = {{"a", 1, 289}, {"b", 1, 290}};
+    std::set<std::string> first;
+    for (int index = 0; index < 40; ++index)
+    {
+        first.insert(
+            order_coordinators("chat-" + std::to_string(index), nodes).front());
+    }
+    EXPECT_EQ(first.size(), 2);
 }
 
 TEST(coordinator_contact_test, a_silent_node_is_avoided_for_a_time)
