Slot scheduler: Run no request that has crashed two runners

Cause: nothing on the users' platform bounded a request that crashes each runner that begins it: every node ran its copy, and an item was run again at once without end. Change: a run whose connection the runner closes is told to the coordinator with the request's digest, and again in reports, so that a new coordinator knows it. After one crash copies run one at a time, after two they are answered 502 without a run.

--- a/policy/serving/serving.hpp
+++ b/policy/serving/serving.hpp
@@ -7,6 +7,7 @@
 #include "policy/serving/event_splitter.hpp"
 #include "policy/serving/item_plan.hpp"
 #include "policy/serving/item_progress.hpp"
+#include "policy/serving/item_retry.hpp"
 #include "policy/serving/job_ownership.hpp"
 #include "policy/serving/job_record.hpp"
 #include "policy/serving/runner_directory.hpp"
--- a/policy/serving/slot_messages.hpp
+++ b/policy/serving/slot_messages.hpp
@@ -74,6 +74,16 @@
     bool operator==(const held_slot&) const = default;
 };
 
+/// A run at whose runner the connection closed, as the node that sent it
+/// remembers it.
+struct crashed_run
+{
+    std::uint64_t request_digest = 0;
+    slot_id id;
+
+    bool operator==(const crashed_run&) const = default;
+};
+
 /// How the use of a slot ended.
 enum class slot_outcome : std::uint8_t
 {
@@ -82,19 +92,22 @@
     refused,
     /// No connection to the runner could be made.
     unreachable,
-    /// The connection broke, or the answer was no proper one.
+    /// No answer came in time, or the answer was no proper one.
     broken,
+    /// The runner closed the connection while it worked on the request.
+    crashed,
     /// The node ended the work: the caller left, or the item yielded.
     cancelled,
     /// The slot was not used.
     unused,
 };
 
-inline constexpr enum_table<slot_outcome, 6> slot_outcome_names = {{
+inline constexpr enum_table<slot_outcome, 7> slot_outcome_names = {{
     {slot_outcome::completed, "completed"},
     {slot_outcome::refused, "refused"},
     {slot_outcome::unreachable, "unreachable"},
     {slot_outcome::broken, "broken"},
+    {slot_outcome::crashed, "crashed"},
     {slot_outcome::cancelled, "cancelled"},
     {slot_outcome::unused, "unused"},
 }};
@@ -110,6 +123,8 @@
     yield,
     /// The request waits.
     queued,
+    /// The request has crashed runners and is not run again.
+    quarantined,
 };
 
 /// A decision of the coordinator for one node.
--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -46,7 +46,7 @@
 } // namespace
 
 slot_scheduler::slot_scheduler(slot_scheduler_settings initial)
-    : settings(initial),
+    : settings(initial), crashes(initial.crash_memory),
       mean_online_us(static_cast<double>(initial.first_online_run.count()))
 {
 }
@@ -179,6 +179,14 @@
              duration::zero()});
         return out;
     }
+    if (this->crashes.judge(request.request_digest, now) ==
+        online::quarantine_verdict::quarantined)
+    {
+        this->queue.erase(request.id);
+        out.push_back(
+            {request.id, verdict_kind::quarantined, "", duration::zero()});
+        return out;
+    }
     if (!this->queue.contains(request.id))
     {
         this->add_waiting(now, request);
@@ -203,6 +211,7 @@
     runner_use& use = found->second;
     const bool failed = outcome == slot_outcome::unreachable ||
                         outcome == slot_outcome::broken ||
+                        outcome == slot_outcome::crashed ||
                         outcome == slot_outcome::refused;
     if (failed)
     {
@@ -214,6 +223,7 @@
         return;
     }
     use.suspect = false;
+    this->crashes.lone_run_completed(run.request_digest, now);
     if (run.kind == work_kind::online)
     {
         const double length = static_cast<double>((now - run.since).count());
@@ -237,6 +247,38 @@
     return out;
 }
 
+void slot_scheduler::on_crash(time_point now, const crashed_run& run)
+{
+    if (run.request_digest == 0)
+    {
+        return;
+    }
+    online::suspicion notice;
+    notice.fingerprint = run.request_digest;
+    notice.runner = run.id.node + "/" + std::to_string(run.id.incarnation);
+    notice.incarnation = run.id.number;
+    notice.time_to_live = this->settings.crash_memory;
+    this->crashes.merge(notice, now);
+}
+
+bool slot_scheduler::is_running(std::uint64_t request_digest) const
+{
+    return std::any_of(
+        this->running.begin(),
+        this->running.end(),
+        [request_digest](const auto& item)
+        {
+            return item.second.request_digest == request_digest;
+        });
+}
+
+bool slot_scheduler::must_run_alone(
+    time_point now, const slot_request& request) const
+{
+    return this->crashes.judge(request.request_digest, now) !=
+           online::quarantine_verdict::clear;
+}
+
 std::vector<slot_verdict> slot_scheduler::on_report(
     time_point now,
     const std::string& node,
@@ -454,12 +496,11 @@
     const work_kind kind = found->second.request.kind;
     const time_point due = found->second.on_time_until;
     const duration work = found->second.request.work_left;
-    if (found->second.request.request_digest != 0)
-    {
-        this->refused.erase(found->second.request.request_digest);
-    }
+    const std::uint64_t digest = found->second.request.request_digest;
+    this->refused.erase(digest);
     this->queue.erase(found);
     this->add_running(id, kind, use.runner.id, now);
+    this->running.at(id).request_digest = digest;
     if (kind == work_kind::batch)
     {
         this->running.at(id).due = due;
@@ -504,15 +545,40 @@
     return sort_ids(std::move(order));
 }
 
+void slot_scheduler::quarantine_waiting(verdicts& out, time_point now)
+{
+    if (this->crashes.size() == 0)
+    {
+        return;
+    }
+    for (const slot_id& id : std::set<slot_id>(this->online_queue))
+    {
+        const auto found = this->queue.find(id);
+        if (found != this->queue.end() &&
+            this->crashes.judge(found->second.request.request_digest, now) ==
+                online::quarantine_verdict::quarantined)
+        {
+            out.push_back({id, verdict_kind::quarantined, "", {}});
+            this->queue.erase(found);
+        }
+    }
+}
+
 void slot_scheduler::dispatch_online(verdicts& out, time_point now)
 {
     // What a request finds free, one that excludes no runner and may be
     // repeated finds too. Of a queue without slots, only few are looked at.
     bool repeatable_may_find = true;
     bool others_may_find = true;
+    this->quarantine_waiting(out, now);
     for (const slot_id* id : this->order_online(now))
     {
         const slot_request& request = this->queue.at(*id).request;
+        if (this->must_run_alone(now, request) &&
+            this->is_running(request.request_digest))
+        {
+            continue;
+        }
         if (!(request.repeatable ? repeatable_may_find : others_may_find))
         {
             continue;
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -1,6 +1,7 @@
 #ifndef CHICORY_POLICY_SERVING_SLOT_SCHEDULER_HPP
 #define CHICORY_POLICY_SERVING_SLOT_SCHEDULER_HPP
 
+#include "policy/online/online.hpp"
 #include "policy/serving/item_plan.hpp"
 #include "policy/serving/slot_messages.hpp"
 
@@ -30,6 +31,8 @@
     duration report_slack = std::chrono::milliseconds(150);
     /// Time that a refused request is remembered.
     duration return_memory = std::chrono::seconds(10);
+    /// Time that a request is remembered after it crashed a runner.
+    duration crash_memory = std::chrono::minutes(10);
     /// A request is refused for being late within this part of the time that
     /// it has to be on time, or not at all.
     std::int64_t decision_share = 4;
@@ -72,6 +75,9 @@
 ///   free; one that was let wait is served late rather than refused. Times to
 ///   come back are spread at the rate at which slots come free. Those who came
 ///   back go first and are not refused again.
+/// - Copies of a request that crashes the runners that begin it, sent by many
+///   nodes: after the first crash its copies run one at a time, after the
+///   second none is run.
 /// - More batch work than fits: the earliest due first among the items that
 ///   `choose_put_off` keeps, then the others; these also leave their slots
 ///   first.
@@ -95,6 +101,10 @@
     std::vector<slot_verdict>
     on_release(time_point now, const slot_id& id, slot_outcome outcome);
 
+    /// Takes that a run of the request with this digest ended at a runner
+    /// that closed the connection. Hearing of one run twice changes nothing.
+    void on_crash(time_point now, const crashed_run& run);
+
     /// Takes all slots that a node uses and all requests of it that wait.
     std::vector<slot_verdict> on_report(
         time_point now,
@@ -115,6 +125,7 @@
     {
         work_kind kind = work_kind::online;
         std::string runner;
+        std::uint64_t request_digest = 0;
         time_point since;
         /// Set when the run was told to leave; it counts no longer.
         bool yielding = false;
@@ -182,10 +193,13 @@
     std::int64_t reserved_slots(time_point now);
     std::vector<time_point> online_ends(time_point now) const;
     void grant(verdicts& out, time_point now, slot_id id, runner_use& use);
+    void quarantine_waiting(verdicts& out, time_point now);
     void dispatch_online(verdicts& out, time_point now);
     void dispatch_batch(verdicts& out, time_point now, bool may_displace);
     void dispatch(verdicts& out, time_point now);
     void refuse_late(verdicts& out, time_point now);
+    bool must_run_alone(time_point now, const slot_request& request) const;
+    bool is_running(std::uint64_t request_digest) const;
     duration expected_wait(
         time_point now,
         const std::vector<time_point>& ends,
@@ -206,6 +220,7 @@
     std::map<std::string, node_contact> nodes;
     /// Refused requests by digest, and until when they are remembered.
     std::map<std::uint64_t, time_point> refused;
+    online::quarantine crashes;
     double mean_online_us = 0.0;
     /// Items that are put off, as of the last plan.
     std::set<slot_id> put_off;
--- a/servers/node/item_run.cpp
+++ b/servers/node/item_run.cpp
@@ -52,6 +52,10 @@
 void item_run::stop()
 {
     this->stopped = true;
+    if (this->pausing != nullptr)
+    {
+        this->pausing->cancel();
+    }
     this->waiting.withdraw();
     this->close_run();
 }
@@ -94,7 +98,9 @@
 {
     asio::steady_timer timer(this->context);
     timer.expires_after(length);
+    this->pausing = &timer;
     co_await timer.async_wait(as_result);
+    this->pausing = nullptr;
 }
 
 asio::awaitable<item_end> item_run::work()
@@ -117,6 +123,12 @@
     co_return item_end::stopped;
 }
 
+asio::awaitable<void> item_run::pause_before_retry()
+{
+    const duration wanted = serving::choose_item_pause(this->closed_runs);
+    co_await this->pause(std::max<duration>(retry_pause, wanted));
+}
+
 asio::awaitable<item_run::step> item_run::run_once()
 {
     const std::shared_ptr<const serving::serving_configuration> configuration =
@@ -183,7 +195,7 @@
         this->services.slots.release(
             slot.id,
             own_end ? serving::slot_outcome::cancelled
-                    : to_slot_outcome(outcome.contact));
+                    : to_slot_outcome(outcome));
         if (!own_end)
         {
             this->avoided.push_back(slot.runner);
@@ -197,7 +209,8 @@
                  {"item", this->item.id},
                  {"runner", slot.runner},
                  {"error", outcome.failure}});
-            co_await this->pause(retry_pause);
+            this->closed_runs += outcome.closed ? 1 : 0;
+            co_await this->pause_before_retry();
         }
         co_return step::again;
     }
@@ -244,8 +257,10 @@
 asio::awaitable<item_run::step> item_run::read_text(const slot_answer& slot)
 {
     this->text.begin_run();
+    const std::string before = this->text.last_event_id();
     std::string failure;
     bool ended = false;
+    bool closed = false;
     while (failure.empty() && !ended)
     {
         const result<std::string> piece =
@@ -253,6 +268,7 @@
         if (!piece)
         {
             failure = piece.error().text;
+            closed = piece.error().kind == error_kind::unavailable;
         }
         else if (!this->text.take(piece.value()))
         {
@@ -283,6 +299,15 @@
          {"runner", slot.runner},
          {"after", this->text.last_event_id()},
          {"error", own_end ? "yielded" : failure}});
+    if (this->text.last_event_id() != before)
+    {
+        this->closed_runs = 0;
+    }
+    else if (closed && !own_end)
+    {
+        ++this->closed_runs;
+        co_await this->pause_before_retry();
+    }
     co_return step::again;
 }
 
--- a/servers/node/item_run.hpp
+++ b/servers/node/item_run.hpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <memory>
 #include <string>
@@ -71,6 +72,7 @@
         const slot_answer& slot, std::unique_ptr<net::http_stream> answer);
     boost::asio::awaitable<step> read_text(const slot_answer& slot);
     boost::asio::awaitable<void> pause(duration length);
+    boost::asio::awaitable<void> pause_before_retry();
 
     boost::asio::io_context& context;
     run_services services;
@@ -83,6 +85,10 @@
     serving::item_progress text;
     /// Time that runs of the item have taken.
     duration worked = duration::zero();
+    /// Runs in a row at whose runner the connection closed without progress.
+    int closed_runs = 0;
+    /// Set while the item waits for its next run, so that a stop ends that.
+    boost::asio::steady_timer* pausing = nullptr;
     net::http_cancellation* sending = nullptr;
     std::unique_ptr<net::http_stream> stream;
     slot_wait waiting;
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -154,7 +154,9 @@
     const slot_answer& slot, serving::slot_outcome outcome)
 {
     this->services.slots.release(
-        slot.id, this->is_over() ? serving::slot_outcome::cancelled : outcome);
+        slot.id,
+        this->is_over() ? serving::slot_outcome::cancelled : outcome,
+        this->digest);
 }
 
 asio::awaitable<online_call::step> online_call::attempt()
@@ -169,6 +171,16 @@
             slot.direct ? reason::no_runner : reason::queue_time);
         co_return step::done;
     }
+    if (slot.kind == slot_answer::answer_kind::quarantined)
+    {
+        log_event(
+            event::request_quarantined,
+            {{"request", this->terms.attempt_id},
+             {"fingerprint", this->digest}});
+        this->services.numbers.add("requests_quarantined_total");
+        co_await this->fail(status_bad_gateway, reason::quarantined);
+        co_return step::done;
+    }
     if (slot.kind == slot_answer::answer_kind::withdrawn)
     {
         this->time_over = this->time_over || !this->caller_gone;
@@ -194,7 +206,7 @@
         this->sending);
     if (outcome.contact != runner_contact::answering)
     {
-        this->release(slot, to_slot_outcome(outcome.contact));
+        this->release(slot, to_slot_outcome(outcome));
         co_return co_await this->take_failure(slot.runner, outcome);
     }
     ++this->runs;
@@ -287,7 +299,7 @@
         {
             this->stream->close();
             this->stream.reset();
-            this->release(slot, serving::slot_outcome::broken);
+            this->release(slot, to_slot_outcome(piece.error()));
             this->events.drop_unfinished();
             this->failed_runners.push_back(slot.runner);
             log_event(
@@ -356,7 +368,7 @@
         if (!piece)
         {
             this->stream.reset();
-            this->release(slot, serving::slot_outcome::broken);
+            this->release(slot, to_slot_outcome(piece.error()));
             runner_outcome broken;
             broken.contact = runner_contact::unknown;
             broken.failure = piece.error().text;
--- a/servers/node/runner_caller.cpp
+++ b/servers/node/runner_caller.cpp
@@ -51,6 +51,9 @@
         outcome.contact =
             sent ? runner_contact::unknown : runner_contact::not_sent;
         outcome.failure = opened.failure.text;
+        outcome.closed = sent &&
+                         opened.failure.kind == error_kind::unavailable &&
+                         !cancellation.is_cancelled();
         if (!sent && !cancellation.is_cancelled())
         {
             directory.on_unreachable(read_monotonic_clock(), runner);
@@ -78,9 +81,16 @@
     co_return outcome;
 }
 
-serving::slot_outcome to_slot_outcome(runner_contact contact)
+serving::slot_outcome to_slot_outcome(const error& stream_failure)
 {
-    switch (contact)
+    return stream_failure.kind == error_kind::unavailable
+               ? serving::slot_outcome::crashed
+               : serving::slot_outcome::broken;
+}
+
+serving::slot_outcome to_slot_outcome(const runner_outcome& outcome)
+{
+    switch (outcome.contact)
     {
     case runner_contact::answering:
         return serving::slot_outcome::completed;
@@ -92,7 +102,8 @@
     case runner_contact::unknown:
         break;
     }
-    return serving::slot_outcome::broken;
+    return outcome.closed ? serving::slot_outcome::crashed
+                          : serving::slot_outcome::broken;
 }
 
 } // namespace chicory::node
--- a/servers/node/runner_caller.hpp
+++ b/servers/node/runner_caller.hpp
@@ -35,6 +35,8 @@
     runner_contact contact = runner_contact::not_sent;
     std::unique_ptr<net::http_stream> stream;
     std::string failure;
+    /// True when the runner closed the connection after the request was sent.
+    bool closed = false;
 };
 
 /// Sends requests to runners and tells the directory what they show of them.
@@ -58,7 +60,8 @@
 };
 
 /// Returns the outcome by which a slot is given back.
-serving::slot_outcome to_slot_outcome(runner_contact contact);
+serving::slot_outcome to_slot_outcome(const error& stream_failure);
+serving::slot_outcome to_slot_outcome(const runner_outcome& outcome);
 
 } // namespace chicory::node
 
--- a/servers/node/slot_client.cpp
+++ b/servers/node/slot_client.cpp
@@ -26,6 +26,8 @@
 /// Time for which an order of coordinators is used again; short beside the
 /// time after which a silent one is avoided.
 constexpr std::chrono::milliseconds order_lifetime(20);
+/// Runs that crashed a runner that a report names; a report is one datagram.
+constexpr std::size_t most_crashed = 16;
 /// Time between two reports of all slots in use.
 constexpr std::chrono::milliseconds report_interval(250);
 
@@ -235,7 +237,9 @@
 }
 
 void slot_client::release(
-    const serving::slot_id& id, serving::slot_outcome outcome)
+    const serving::slot_id& id,
+    serving::slot_outcome outcome,
+    std::uint64_t request_digest)
 {
     const auto found = this->used.find(id.number);
     if (found == this->used.end())
@@ -244,11 +248,21 @@
     }
     const std::string service = found->second.service;
     this->used.erase(found);
+    if (outcome == serving::slot_outcome::crashed && request_digest != 0)
+    {
+        std::deque<serving::crashed_run>& known = this->crashed[service];
+        known.push_back({request_digest, id});
+        if (known.size() > most_crashed)
+        {
+            known.pop_front();
+        }
+    }
     if (const std::optional<std::string> coordinator =
             this->find_coordinator(read_monotonic_clock(), service))
     {
         this->io_hooks.send(
-            *coordinator, wire::slot_release{service, id, outcome});
+            *coordinator,
+            wire::slot_release{service, id, outcome, request_digest});
     }
 }
 
@@ -309,6 +323,10 @@
     answer.id = verdict.id;
     answer.kind = granted ? slot_answer::answer_kind::granted
                           : slot_answer::answer_kind::refused;
+    if (verdict.kind == serving::verdict_kind::quarantined)
+    {
+        answer.kind = slot_answer::answer_kind::quarantined;
+    }
     answer.runner = verdict.runner;
     answer.retry_after = verdict.retry_after;
     answer.coordinator = found->second->coordinator;
@@ -341,6 +359,11 @@
     all.service = service;
     all.node = this->self;
     all.incarnation = this->incarnation;
+    if (const auto known = this->crashed.find(service);
+        known != this->crashed.end())
+    {
+        all.crashed.assign(known->second.begin(), known->second.end());
+    }
     for (const auto& [number, slot] : this->used)
     {
         if (slot.service == service)
--- a/servers/node/slot_client.hpp
+++ b/servers/node/slot_client.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -43,6 +44,8 @@
         refused,
         /// The caller withdrew the wish.
         withdrawn,
+        /// The request has crashed runners and must not run.
+        quarantined,
     };
     answer_kind kind = answer_kind::withdrawn;
     serving::slot_id id;
@@ -94,8 +97,11 @@
     boost::asio::awaitable<slot_answer>
     acquire(slot_wish wish, slot_wait& wait);
 
-    /// Gives a slot back.
-    void release(const serving::slot_id& id, serving::slot_outcome outcome);
+    /// Gives a slot back. The digest is that of the wish.
+    void release(
+        const serving::slot_id& id,
+        serving::slot_outcome outcome,
+        std::uint64_t request_digest = 0);
 
     /// Calls the hook once when the run in this slot must leave its runner.
     void set_yield(const serving::slot_id& id, std::function<void()> hook);
@@ -155,6 +161,9 @@
     hooks io_hooks;
     serving::coordinator_contact contact;
     std::map<std::string, known_order> orders;
+    /// By service, the latest runs that crashed a runner; a new coordinator
+    /// hears of them.
+    std::map<std::string, std::deque<serving::crashed_run>> crashed;
     std::map<std::uint64_t, std::shared_ptr<pending_wish>> wishes;
     std::map<std::uint64_t, used_slot> used;
     /// Services whose last report named slots or wishes.
--- a/servers/node/slot_service.cpp
+++ b/servers/node/slot_service.cpp
@@ -145,24 +145,34 @@
     }
     else if (const auto* release = std::get_if<wire::slot_release>(&packet))
     {
+        serving::slot_scheduler& scheduler =
+            this->scheduler_of(now, release->service);
+        if (release->outcome == serving::slot_outcome::crashed)
+        {
+            scheduler.on_crash(now, {release->request_digest, release->id});
+        }
         this->answer(
             release->service,
             "",
-            this->scheduler_of(now, release->service)
-                .on_release(now, release->id, release->outcome));
+            scheduler.on_release(now, release->id, release->outcome));
     }
     else if (const auto* report = std::get_if<wire::slot_report>(&packet))
     {
+        serving::slot_scheduler& scheduler =
+            this->scheduler_of(now, report->service);
+        for (const serving::crashed_run& run : report->crashed)
+        {
+            scheduler.on_crash(now, run);
+        }
         this->answer(
             report->service,
             report->node,
-            this->scheduler_of(now, report->service)
-                .on_report(
-                    now,
-                    report->node,
-                    report->incarnation,
-                    report->held,
-                    report->waiting));
+            scheduler.on_report(
+                now,
+                report->node,
+                report->incarnation,
+                report->held,
+                report->waiting));
     }
 }
 
--- a/tests/policy/serving/serving_test.cpp
+++ b/tests/policy/serving/serving_test.cpp
@@ -195,6 +195,21 @@
     EXPECT_EQ(first.size(), 2);
 }
 
+TEST(item_retry_test, an_item_that_crashes_its_runners_is_run_seldom)
+{
+    EXPECT_EQ(choose_item_pause(0), duration::zero());
+    EXPECT_EQ(choose_item_pause(2), duration::zero());
+    duration before = duration::zero();
+    for (int closed = 3; closed < 40; ++closed)
+    {
+        const duration pause = choose_item_pause(closed);
+        EXPECT_GE(pause, before);
+        EXPECT_GE(pause, 5s);
+        EXPECT_LT(pause, 20s);
+        before = pause;
+    }
+}
+
 TEST(coordinator_contact_test, a_silent_node_is_avoided_for_a_time)
 {
     const time_point start = time_point() + 1h;
--- a/tests/policy/serving/slot_scheduler_test.cpp
+++ b/tests/policy/serving/slot_scheduler_test.cpp
@@ -389,6 +389,90 @@
         1U);
 }
 
+class crashing_request_test : public slot_scheduler_test
+{
+protected:
+    /// Sends a copy of one request through a node of its own.
+    std::vector<slot_verdict> send(time_point now, std::uint64_t copy)
+    {
+        slot_request request =
+            make_online(copy, "node-" + std::to_string(copy));
+        request.request_digest = 77;
+        request.on_time_left = 3s;
+        return this->scheduler.on_request(now, request);
+    }
+
+    static slot_id id_of(std::uint64_t copy)
+    {
+        return {"node-" + std::to_string(copy), 1, copy};
+    }
+
+    std::vector<slot_verdict> crash(time_point now, std::uint64_t copy)
+    {
+        this->scheduler.on_crash(now, {77, id_of(copy)});
+        return this->scheduler.on_release(
+            now, id_of(copy), slot_outcome::crashed);
+    }
+};
+
+TEST_F(crashing_request_test, is_not_run_after_its_second_crash)
+{
+    this->give_runners(6, 4);
+    EXPECT_EQ(of_kind(this->send(start, 1), verdict_kind::granted).size(), 1);
+    this->crash(start + 10ms, 1);
+    EXPECT_EQ(
+        of_kind(this->send(start + 20ms, 2), verdict_kind::granted).size(), 1);
+    this->crash(start + 30ms, 2);
+    EXPECT_EQ(
+        of_kind(this->send(start + 40ms, 3), verdict_kind::quarantined).size(),
+        1);
+    EXPECT_EQ(
+        of_kind(
+            this->scheduler.on_request(start + 50ms, make_online(9)),
+            verdict_kind::granted)
+            .size(),
+        1);
+}
+
+TEST_F(crashing_request_test, copies_run_one_at_a_time_after_a_crash)
+{
+    this->give_runners(6, 4);
+    this->send(start, 1);
+    this->crash(start + 10ms, 1);
+    EXPECT_EQ(
+        of_kind(this->send(start + 20ms, 2), verdict_kind::granted).size(), 1);
+    EXPECT_EQ(
+        of_kind(this->send(start + 21ms, 3), verdict_kind::queued).size(), 1);
+    const std::vector<slot_verdict> after = this->crash(start + 30ms, 2);
+    ASSERT_EQ(of_kind(after, verdict_kind::quarantined).size(), 1);
+    EXPECT_EQ(of_kind(after, verdict_kind::quarantined).front().id, id_of(3));
+    EXPECT_EQ(this->scheduler.waiting(work_kind::online), 0);
+}
+
+TEST_F(crashing_request_test, a_run_that_completes_clears_it)
+{
+    this->give_runners(6, 4);
+    this->send(start, 1);
+    this->crash(start + 10ms, 1);
+    this->send(start + 20ms, 2);
+    this->scheduler.on_release(
+        start + 700ms, id_of(2), slot_outcome::completed);
+    this->send(start + 800ms, 3);
+    this->crash(start + 810ms, 3);
+    EXPECT_EQ(
+        of_kind(this->send(start + 900ms, 4), verdict_kind::granted).size(), 1);
+}
+
+TEST_F(crashing_request_test, hearing_of_one_crash_twice_changes_nothing)
+{
+    this->give_runners(6, 4);
+    this->send(start, 1);
+    this->crash(start + 10ms, 1);
+    this->scheduler.on_crash(start + 250ms, {77, id_of(1)});
+    EXPECT_EQ(
+        of_kind(this->send(start + 300ms, 2), verdict_kind::granted).size(), 1);
+}
+
 TEST_F(slot_scheduler_test, a_repeated_request_gets_the_same_slot)
 {
     this->give_runners(2, 1);
--- a/wire/slot_packet.cpp
+++ b/wire/slot_packet.cpp
@@ -34,6 +34,12 @@
     archive(value.request_digest, value.repeatable, value.excluded);
 }
 
+template <class Archive>
+void serialize(Archive& archive, crashed_run& value)
+{
+    archive(value.request_digest, value.id);
+}
+
 template <class Archive>
 void serialize(Archive& archive, held_slot& value)
 {
@@ -56,7 +62,7 @@
 template <class Archive>
 void serialize(Archive& archive, slot_release& value)
 {
-    archive(value.service, value.id, value.outcome);
+    archive(value.service, value.id, value.outcome, value.request_digest);
 }
 
 template <class Archive>
@@ -67,7 +73,8 @@
         value.node,
         value.incarnation,
         value.held,
-        value.waiting);
+        value.waiting,
+        value.crashed);
 }
 
 template <class Archive>
--- a/wire/slot_packet.hpp
+++ b/wire/slot_packet.hpp
@@ -17,6 +17,8 @@
     std::string service;
     serving::slot_id id;
     serving::slot_outcome outcome = serving::slot_outcome::completed;
+    /// Digest of the request that had the slot; zero for an item.
+    std::uint64_t request_digest = 0;
 };
 
 /// All slots of a service that a node uses, and all its requests that wait.
@@ -27,6 +29,8 @@
     std::uint64_t incarnation = 0;
     std::vector<serving::held_slot> held;
     std::vector<serving::slot_request> waiting;
+    /// The latest runs of this node that crashed a runner.
+    std::vector<serving::crashed_run> crashed;
 };
 
 /// Answer to a report, and to a request together with its verdicts.
