Slot scheduler: Send nothing more to runners that went silent

Change: reports carry the time since each slot's runner sent bytes. A runner that no node had a byte from for 450 ms, with work under way, gets no more work until a run is completed there. Answers in progress are not ended: silence is no reason for that. A suspect runner is tried after 2 s also where no work may be repeated; before, it was never used again there.

--- a/policy/serving/slot_messages.hpp
+++ b/policy/serving/slot_messages.hpp
@@ -70,6 +70,8 @@
     std::string runner;
     /// Time since the work was sent.
     duration age = duration::zero();
+    /// Time since the runner's latest bytes, or since the work was sent.
+    duration silence = duration::zero();
 
     bool operator==(const held_slot&) const = default;
 };
--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -215,14 +215,18 @@
                         outcome == slot_outcome::refused;
     if (failed)
     {
-        use.suspect = outcome != slot_outcome::refused;
+        if (outcome != slot_outcome::refused)
+        {
+            use.suspect_since = now;
+        }
         use.paused_until = now + this->settings.failure_pause;
     }
     if (outcome != slot_outcome::completed)
     {
         return;
     }
-    use.suspect = false;
+    use.suspect_since.reset();
+    use.last_progress = now;
     this->crashes.lone_run_completed(run.request_digest, now);
     if (run.kind == work_kind::online)
     {
@@ -321,11 +325,39 @@
             this->add_waiting(now, request);
         }
     }
+    this->note_silence(now, held);
     this->drop_unnamed(now, node, named);
     this->dispatch(out, now);
     return out;
 }
 
+void slot_scheduler::note_silence(
+    time_point now, const std::vector<held_slot>& held)
+{
+    for (const held_slot& slot : held)
+    {
+        if (const auto found = this->runners.find(slot.runner);
+            found != this->runners.end())
+        {
+            time_point& last = found->second.last_progress;
+            last = std::max(last, now - slot.silence);
+        }
+    }
+    for (const held_slot& slot : held)
+    {
+        const auto found = this->runners.find(slot.runner);
+        if (found == this->runners.end() || found->second.suspect_since)
+        {
+            continue;
+        }
+        const duration limit = this->settings.silence_limit;
+        if (slot.silence >= limit && now - found->second.last_progress >= limit)
+        {
+            found->second.suspect_since = now;
+        }
+    }
+}
+
 void slot_scheduler::drop_unnamed(
     time_point now, const std::string& node, const std::set<slot_id>& named)
 {
@@ -362,7 +394,10 @@
     {
         return false;
     }
-    if (use.suspect && (!request.repeatable || use.used > 0))
+    if (use.suspect_since &&
+        (use.used > 0 ||
+         (!request.repeatable &&
+          now - *use.suspect_since < this->settings.suspect_time)))
     {
         return false;
     }
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -41,6 +41,13 @@
     /// A runner that failed gets one run at a time until one is completed,
     /// and none for this time.
     duration failure_pause = std::chrono::milliseconds(400);
+    /// A runner of which no node had a byte for so long, with work under way,
+    /// may be gone. Between two pieces lie some 30 ms; a lost packet comes
+    /// again after 200 ms.
+    duration silence_limit = std::chrono::milliseconds(450);
+    /// A suspect runner is tried with work that may be repeated; where there
+    /// is none, with any work after this time.
+    duration suspect_time = std::chrono::seconds(2);
     /// Idle slots are kept free of items for the online requests that are
     /// expected within this time: an item there would only run a moment.
     duration reserve_time = std::chrono::milliseconds(80);
@@ -78,6 +85,8 @@
 /// - Copies of a request that crashes the runners that begin it, sent by many
 ///   nodes: after the first crash its copies run one at a time, after the
 ///   second none is run.
+/// - Runners that go silent with requests under way, whose connections stay:
+///   they get no more work until a run is completed there.
 /// - More batch work than fits: the earliest due first among the items that
 ///   `choose_put_off` keeps, then the others; these also leave their slots
 ///   first.
@@ -147,8 +156,11 @@
         slot_runner runner;
         bool usable = true;
         std::int64_t used = 0;
-        /// Set after a failure until a run is completed.
-        bool suspect = false;
+        /// Since when the runner is suspect; set by a failure or by silence
+        /// until a run is completed.
+        std::optional<time_point> suspect_since;
+        /// When a node last had bytes from the runner.
+        time_point last_progress;
         time_point paused_until;
         /// Mean length of completed online runs.
         double mean_run_us = 0.0;
@@ -163,6 +175,8 @@
     void
     hear(time_point now, const std::string& node, std::uint64_t incarnation);
     void drop_node(const std::string& node, std::uint64_t before);
+    /// Takes from a node's slots which runners are silent.
+    void note_silence(time_point now, const std::vector<held_slot>& held);
     /// Drops what a node had and no longer reports.
     void drop_unnamed(
         time_point now,
--- a/servers/node/item_run.cpp
+++ b/servers/node/item_run.cpp
@@ -275,6 +275,10 @@
             failure =
                 "an event does not follow event " + this->text.last_event_id();
         }
+        if (piece)
+        {
+            this->services.slots.note_progress(slot.id);
+        }
         ended = piece && piece.value().empty();
     }
     if (failure.empty() && this->text.is_whole())
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -316,6 +316,7 @@
             co_await this->fail(status_bad_gateway, reason::stream_broken);
             co_return step::done;
         }
+        this->services.slots.note_progress(slot.id);
         const bool ended = piece.value().empty();
         const std::string whole = this->events.take(piece.value());
         if (!whole.empty() && !co_await this->exchange.write_chunk(whole))
@@ -375,6 +376,7 @@
             --this->runs;
             co_return co_await this->take_failure(slot.runner, broken);
         }
+        this->services.slots.note_progress(slot.id);
         if (piece.value().empty())
         {
             this->release(slot, serving::slot_outcome::completed);
--- a/servers/node/slot_client.cpp
+++ b/servers/node/slot_client.cpp
@@ -220,6 +220,7 @@
             request.service,
             pending->answer.runner,
             read_monotonic_clock(),
+            read_monotonic_clock(),
             {},
             false};
     }
@@ -266,6 +267,15 @@
     }
 }
 
+void slot_client::note_progress(const serving::slot_id& id)
+{
+    if (const auto found = this->used.find(id.number);
+        found != this->used.end())
+    {
+        found->second.last_progress = read_monotonic_clock();
+    }
+}
+
 void slot_client::set_yield(
     const serving::slot_id& id, std::function<void()> hook)
 {
@@ -373,7 +383,8 @@
                  slot.kind,
                  service,
                  slot.runner,
-                 now - slot.since});
+                 now - slot.since,
+                 now - slot.last_progress});
         }
     }
     for (const auto& [number, pending] : this->wishes)
--- a/servers/node/slot_client.hpp
+++ b/servers/node/slot_client.hpp
@@ -103,6 +103,9 @@
         serving::slot_outcome outcome,
         std::uint64_t request_digest = 0);
 
+    /// Takes that the runner of this slot sent bytes.
+    void note_progress(const serving::slot_id& id);
+
     /// Calls the hook once when the run in this slot must leave its runner.
     void set_yield(const serving::slot_id& id, std::function<void()> hook);
 
@@ -130,6 +133,7 @@
         std::string service;
         std::string runner;
         time_point since;
+        time_point last_progress;
         std::function<void()> yield;
         bool must_yield = false;
     };
--- a/tests/policy/serving/slot_scheduler_test.cpp
+++ b/tests/policy/serving/slot_scheduler_test.cpp
@@ -389,6 +389,72 @@
         1U);
 }
 
+TEST_F(slot_scheduler_test, a_runner_that_broke_is_tried_without_items_too)
+{
+    this->give_runners(1, 4);
+    this->scheduler.on_request(start, make_online(1));
+    this->scheduler.on_release(
+        start + 10ms, make_online(1).id, slot_outcome::broken);
+    EXPECT_EQ(
+        of_kind(
+            this->scheduler.on_request(start + 2500ms, make_online(2)),
+            verdict_kind::granted)
+            .size(),
+        1U);
+}
+
+class silent_runner_test : public slot_scheduler_test
+{
+protected:
+    /// Reports one slot at the only runner.
+    void report(
+        time_point now,
+        const std::string& node,
+        std::uint64_t number,
+        duration silence)
+    {
+        held_slot held;
+        held.id = {node, 1, number};
+        held.service = "chat";
+        held.runner = "r0";
+        held.age = 2s;
+        held.silence = silence;
+        this->scheduler.on_report(now, node, 1, {held}, {});
+    }
+
+    bool gets_work(time_point now, std::uint64_t number)
+    {
+        return !of_kind(
+                    this->scheduler.on_request(now, make_online(number, "z")),
+                    verdict_kind::granted)
+                    .empty();
+    }
+};
+
+TEST_F(silent_runner_test, gets_no_more_work)
+{
+    this->give_runners(1, 8);
+    this->report(start, "a", 1, 500ms);
+    EXPECT_FALSE(this->gets_work(start + 10ms, 5));
+}
+
+TEST_F(silent_runner_test, is_used_on_while_another_node_hears_it)
+{
+    this->give_runners(1, 8);
+    this->report(start, "b", 2, 20ms);
+    this->report(start + 100ms, "a", 1, 500ms);
+    EXPECT_TRUE(this->gets_work(start + 110ms, 5));
+}
+
+TEST_F(silent_runner_test, gets_work_again_after_a_completed_run)
+{
+    this->give_runners(1, 8);
+    this->report(start, "a", 1, 500ms);
+    this->scheduler.on_release(
+        start + 100ms, {"a", 1, 1}, slot_outcome::completed);
+    EXPECT_TRUE(this->gets_work(start + 110ms, 5));
+}
+
 class crashing_request_test : public slot_scheduler_test
 {
 protected:
--- a/tests/wire/slot_packet_fuzz_test.cpp
+++ b/tests/wire/slot_packet_fuzz_test.cpp
@@ -24,6 +24,7 @@
     held.id = {"vm-1", 7, 41};
     held.service = "chat";
     held.runner = "i-3";
+    held.silence = std::chrono::milliseconds(420);
     slot_report report{
         "chat", "vm-1", 7, {held}, {request}, {{99, {"vm-1", 7, 40}}}};
     slot_release release{"chat", request.id, serving::slot_outcome::broken, 99};
--- a/wire/slot_packet.cpp
+++ b/wire/slot_packet.cpp
@@ -45,6 +45,7 @@
 {
     archive(value.id, value.kind, value.service, value.runner);
     save_duration(archive, value.age);
+    save_duration(archive, value.silence);
 }
 
 template <class Archive>
