Slot scheduler: Estimate waits in a class of its own

The ends of runs were sorted again for each refusal of a burst; they are now taken once. The process_stopped line of the node was written twice. A program measures what the log costs a node for each request.

--- /dev/null
+++ b/experiments/node_log_cost_main.cpp
@@ -0,0 +1,295 @@
+#include "net/net.hpp"
+#include "tests/standins/engine_standin.hpp"
+#include "tests/standins/store_standin.hpp"
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <functional>
+#include <string>
+#include <thread>
+
+namespace
+{
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using chicory::net::endpoint;
+
+constexpr std::chrono::seconds patience(30);
+
+/// How the node's log is treated.
+enum class log_use
+{
+    off,
+    read,
+    not_read,
+};
+
+constexpr chicory::enum_table<log_use, 3> log_use_names = {{
+    {log_use::off, "off"},
+    {log_use::read, "read"},
+    {log_use::not_read, "not_read"},
+}};
+
+const std::string configuration =
+    R"({"version":1,"routes":[{"name":"ask","host":"a.example",
+    "prefix":"/ask/","route_kind":"streaming","timeout_ms":20000,
+    "target_latency_ms":5000,"service":"chat","max_attempts":1,
+    "resumable":false}],"services":[{"name":"chat","engine":{"slots":64}}],
+    "limits":{"max_header_bytes":16384,"max_body_bytes":100000,
+    "header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+
+/// The node as a process of its own, before stand-ins of store and runner.
+class trial
+{
+public:
+    trial(std::string program, log_use log)
+        : binary(std::move(program)), use(log), store(this->io),
+          engine(this->io, "i-1"), http(this->io.get_executor())
+    {
+    }
+
+    /// Returns processor microseconds of the node for each request, or a
+    /// negative value when not all were answered.
+    double run(int requests, int at_once)
+    {
+        const std::uint16_t store_port = this->store.listen();
+        this->engine.listen();
+        this->store.put("op", "", "config", configuration);
+        this->store.put(
+            "servers", "", this->engine.id(), this->engine.entry("ready"));
+        this->spawn(this->write_settings(store_port));
+        const bool ready = this->wait_until(
+            [this]
+            {
+                return this->get_readiness() == 200;
+            });
+        const double before = this->read_cpu_us();
+        for (int index = 0; ready && index < at_once; ++index)
+        {
+            asio::co_spawn(
+                this->io, this->ask(requests / at_once), asio::detached);
+        }
+        const int expected = requests / at_once * at_once;
+        const bool complete = this->wait_until(
+            [this, expected]
+            {
+                return this->ended == expected;
+            });
+        const double spent = this->read_cpu_us() - before;
+        this->finish();
+        return complete && this->answered == expected ? spent / expected : -1.0;
+    }
+
+private:
+    std::uint16_t find_free_port()
+    {
+        asio::ip::tcp::acceptor acceptor(
+            this->io, {asio::ip::make_address("127.0.0.1"), 0});
+        return acceptor.local_endpoint().port();
+    }
+
+    std::string write_settings(std::uint16_t store_port)
+    {
+        this->requests = {"127.0.0.1", this->find_free_port()};
+        this->readiness = {"127.0.0.1", this->find_free_port()};
+        std::string path = "/tmp/chicory-node-log-cost-XXXXXX";
+        const int file = mkstemp(path.data());
+        if (file >= 0)
+        {
+            close(file);
+        }
+        std::ofstream text(path);
+        text << "[vm]\nid = \"vm-1\"\nregion = \"r1\"\nzone = \"z1\"\n"
+             << "address = \"127.0.0.1\"\nseeds = []\n[listen]\nrequests = \""
+             << "127.0.0.1:" << this->requests.port
+             << "\"\nreadiness = \"127.0.0.1:" << this->readiness.port
+             << "\"\nentry_addresses = \"127.0.0.1:" << this->find_free_port()
+             << "\"\nfirst_internal_port = " << this->find_free_port()
+             << "\n[store]\naddress = \"127.0.0.1:" << store_port
+             << "\"\n[log]\nlevel = \""
+             << (this->use == log_use::off ? "error" : "info") << "\"\n";
+        return path;
+    }
+
+    void spawn(const std::string& settings)
+    {
+        this->settings_path = settings;
+        if (pipe2(this->log_pipe.data(), O_CLOEXEC) != 0)
+        {
+            return;
+        }
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        posix_spawn_file_actions_adddup2(
+            &actions, this->log_pipe[1], STDOUT_FILENO);
+        std::string option = "--settings";
+        std::array<char*, 4> arguments = {
+            this->binary.data(),
+            option.data(),
+            this->settings_path.data(),
+            nullptr};
+        if (posix_spawn(
+                &this->child,
+                this->binary.c_str(),
+                &actions,
+                nullptr,
+                arguments.data(),
+                environ) != 0)
+        {
+            this->child = 0;
+        }
+        posix_spawn_file_actions_destroy(&actions);
+        close(this->log_pipe[1]);
+        if (this->use != log_use::not_read)
+        {
+            this->reader = std::thread(
+                [source = this->log_pipe[0]]
+                {
+                    std::array<char, 65536> bytes{};
+                    while (read(source, bytes.data(), bytes.size()) > 0)
+                    {
+                    }
+                });
+        }
+    }
+
+    void finish()
+    {
+        if (this->child > 0)
+        {
+            kill(this->child, SIGKILL);
+            waitpid(this->child, nullptr, 0);
+        }
+        if (this->reader.joinable())
+        {
+            this->reader.join();
+        }
+        close(this->log_pipe[0]);
+        unlink(this->settings_path.c_str());
+    }
+
+    /// Processor time of the node so far, in microseconds.
+    double read_cpu_us() const
+    {
+        std::ifstream file(
+            "/proc/" + std::to_string(this->child) + "/schedstat");
+        double nanoseconds = 0.0;
+        file >> nanoseconds;
+        return nanoseconds / 1000.0;
+    }
+
+    bool wait_until(const std::function<bool()>& condition)
+    {
+        const chicory::time_point until =
+            chicory::read_monotonic_clock() + chicory::duration(patience);
+        while (!condition())
+        {
+            if (chicory::read_monotonic_clock() > until)
+            {
+                return false;
+            }
+            this->io.run_for(5ms);
+        }
+        return true;
+    }
+
+    int get_readiness()
+    {
+        int status = 0;
+        bool done = false;
+        asio::co_spawn(
+            this->io,
+            [&]() -> asio::awaitable<void>
+            {
+                chicory::net::http_request request;
+                request.target = "/-/readyz";
+                const chicory::result<chicory::net::http_response> answer =
+                    co_await this->http.request(
+                        this->readiness, std::move(request), patience);
+                status = answer ? answer.value().status : 0;
+                done = true;
+            },
+            asio::detached);
+        while (!done)
+        {
+            this->io.run_for(5ms);
+        }
+        return status;
+    }
+
+    asio::awaitable<void> ask(int count)
+    {
+        for (int index = 0; index < count; ++index)
+        {
+            chicory::net::http_request request;
+            request.method = "POST";
+            request.target = "/ask/x";
+            request.headers["host"] = "a.example";
+            request.headers["x-attempt-id"] =
+                std::to_string(this->next_attempt++);
+            request.headers["x-deadline-ms"] = "20000";
+            request.headers["x-model"] = "m";
+            request.body = std::string(1000, 'b');
+            const chicory::result<chicory::net::http_response> answer =
+                co_await this->http.request(
+                    this->requests, std::move(request), patience);
+            this->answered += answer && answer.value().status == 200 ? 1 : 0;
+            ++this->ended;
+        }
+    }
+
+    asio::io_context io{1};
+    std::string binary;
+    log_use use;
+    chicory::standins::store_standin store;
+    chicory::standins::engine_standin engine;
+    chicory::net::http_client http;
+    endpoint requests;
+    endpoint readiness;
+    std::string settings_path;
+    std::array<int, 2> log_pipe = {-1, -1};
+    std::thread reader;
+    pid_t child = 0;
+    int next_attempt = 0;
+    int answered = 0;
+    int ended = 0;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::string program = "build/chicory-node";
+    int requests = 4000;
+    int at_once = 16;
+    CLI::App app("Measures what the log costs a node for each request.");
+    app.add_option("--node", program, "Path of chicory-node");
+    app.add_option("--requests", requests, "Requests of each trial");
+    app.add_option("--at-once", at_once, "Requests under way at once");
+    CLI11_PARSE(app, argc, argv);
+    for (const auto& [use, name] : log_use_names)
+    {
+        trial measured(program, use);
+        std::printf(
+            "node_log_cost log=%s requests=%d cpu_us=%.0f\n",
+            std::string(name).c_str(),
+            requests,
+            measured.run(requests, at_once));
+    }
+    return 0;
+}
--- a/policy/serving/serving.hpp
+++ b/policy/serving/serving.hpp
@@ -14,5 +14,6 @@
 #include "policy/serving/serving_configuration.hpp"
 #include "policy/serving/slot_messages.hpp"
 #include "policy/serving/slot_scheduler.hpp"
+#include "policy/serving/wait_estimate.hpp"
 
 #endif
--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -699,60 +699,27 @@
     this->dispatch_batch(out, now, planned);
 }
 
-std::vector<time_point> slot_scheduler::online_ends(time_point now) const
+wait_estimate slot_scheduler::estimate_waits(time_point now) const
 {
-    const duration mean(static_cast<std::int64_t>(this->mean_online_us));
-    std::vector<time_point> ends;
-    std::int64_t overdue = 0;
+    std::vector<time_point> starts;
     for (const auto& [id, run] : this->running)
     {
-        if (run.kind != work_kind::online)
+        if (run.kind == work_kind::online)
         {
-            continue;
-        }
-        if (run.since + mean <= now)
-        {
-            ++overdue;
-            continue;
+            starts.push_back(run.since);
         }
-        ends.push_back(run.since + mean);
-    }
-    // Nothing tells when a run that took longer than the mean will end; such
-    // runs are taken to end one after the other over half of the mean.
-    for (std::int64_t index = 1; index <= overdue; ++index)
-    {
-        ends.push_back(now + mean * index / (2 * overdue));
-    }
-    std::sort(ends.begin(), ends.end());
-    return ends;
-}
-
-duration slot_scheduler::expected_wait(
-    time_point now,
-    const std::vector<time_point>& ends,
-    std::size_t position) const
-{
-    if (ends.empty())
-    {
-        return duration(static_cast<std::int64_t>(this->mean_online_us));
     }
-    const std::size_t rounds = position / ends.size();
-    const duration whole_rounds(static_cast<std::int64_t>(
-        this->mean_online_us * static_cast<double>(rounds)));
-    return ends[position % ends.size()] - now + whole_rounds;
+    return wait_estimate(
+        now, starts, duration(static_cast<std::int64_t>(this->mean_online_us)));
 }
 
-duration
-slot_scheduler::choose_return(time_point now, const waiting_request& refusal)
+duration slot_scheduler::choose_return(
+    time_point now, const waiting_request& refusal, duration wait)
 {
     const std::int64_t slots = std::max<std::int64_t>(1, this->total_slots());
     const duration step(static_cast<std::int64_t>(
         this->mean_online_us / static_cast<double>(slots)));
-    const time_point earliest =
-        now +
-        this->expected_wait(
-            now, this->online_ends(now), this->waiting(work_kind::online));
-    this->next_return = std::max(this->next_return + step, earliest);
+    this->next_return = std::max(this->next_return + step, now + wait);
     const duration left = refusal.gives_up_at - now;
     const duration honoured = std::chrono::duration_cast<duration>(
         left * this->settings.honoured_share);
@@ -766,14 +733,14 @@
         return;
     }
     std::size_t position = 0;
-    const std::vector<time_point> ends = this->online_ends(now);
+    const wait_estimate waits = this->estimate_waits(now);
+    std::size_t still_waiting = this->waiting(work_kind::online);
     for (const slot_id* id : this->order_online(now))
     {
         const auto found = this->queue.find(*id);
         const waiting_request& waiting = found->second;
-        const time_point begins = now +
-                                  this->expected_wait(now, ends, position) +
-                                  this->settings.first_piece;
+        const time_point begins =
+            now + waits.wait_of(position) + this->settings.first_piece;
         // Who was let wait longer than this is served late rather than sent
         // away: coming back would be late as well.
         const time_point decided_by =
@@ -787,7 +754,9 @@
             ++position;
             continue;
         }
-        const duration back = this->choose_return(now, waiting);
+        const duration back =
+            this->choose_return(now, waiting, waits.wait_of(still_waiting));
+        --still_waiting;
         if (waiting.request.request_digest != 0)
         {
             this->refused[waiting.request.request_digest] =
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -4,6 +4,7 @@
 #include "policy/online/online.hpp"
 #include "policy/serving/item_plan.hpp"
 #include "policy/serving/slot_messages.hpp"
+#include "policy/serving/wait_estimate.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -205,7 +206,6 @@
     bool plan_items(time_point now);
     std::int64_t idle_slots() const;
     std::int64_t reserved_slots(time_point now);
-    std::vector<time_point> online_ends(time_point now) const;
     void grant(verdicts& out, time_point now, slot_id id, runner_use& use);
     void quarantine_waiting(verdicts& out, time_point now);
     void dispatch_online(verdicts& out, time_point now);
@@ -214,11 +214,10 @@
     void refuse_late(verdicts& out, time_point now);
     bool must_run_alone(time_point now, const slot_request& request) const;
     bool is_running(std::uint64_t request_digest) const;
-    duration expected_wait(
-        time_point now,
-        const std::vector<time_point>& ends,
-        std::size_t position) const;
-    duration choose_return(time_point now, const waiting_request& refused);
+    wait_estimate estimate_waits(time_point now) const;
+    /// `wait` is that of a request behind all that wait.
+    duration choose_return(
+        time_point now, const waiting_request& refused, duration wait);
     /// Ids of what waits, first to be served first; they point into `queue`.
     std::vector<const slot_id*> order_online(time_point now);
     std::vector<const slot_id*> order_batch() const;
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -176,7 +176,6 @@
            },
            [this]
            {
-               log_event(event::process_stopped);
                this->context.stop();
            },
            [this]
--- a/tests/policy/serving/serving_test.cpp
+++ b/tests/policy/serving/serving_test.cpp
@@ -195,6 +195,30 @@
     EXPECT_EQ(first.size(), 2);
 }
 
+TEST(wait_estimate_test, the_next_run_to_end_frees_the_first_place)
+{
+    const time_point now = time_point() + 1h;
+    const wait_estimate waits(now, {now - 200ms, now - 500ms}, 600ms);
+    EXPECT_EQ(waits.wait_of(0), 100ms);
+    EXPECT_EQ(waits.wait_of(1), 400ms);
+    EXPECT_EQ(waits.wait_of(2), 700ms);
+    EXPECT_EQ(waits.wait_of(5), 1600ms);
+}
+
+TEST(wait_estimate_test, overdue_runs_end_within_half_of_the_mean)
+{
+    const time_point now = time_point() + 1h;
+    const wait_estimate waits(now, {now - 2s, now - 1s}, 600ms);
+    EXPECT_EQ(waits.wait_of(0), 150ms);
+    EXPECT_EQ(waits.wait_of(1), 300ms);
+}
+
+TEST(wait_estimate_test, without_runs_one_is_awaited)
+{
+    const wait_estimate waits(time_point() + 1h, {}, 600ms);
+    EXPECT_EQ(waits.wait_of(3), 600ms);
+}
+
 TEST(item_retry_test, an_item_that_crashes_its_runners_is_run_seldom)
 {
     EXPECT_EQ(choose_item_pause(0), duration::zero());
