--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -497,6 +497,18 @@
     EXPECT_EQ(this->store.count("jobs"), 0U);
 }
 
+TEST_F(node_process_test, a_slow_store_delays_jobs_and_no_request)
+{
+    this->start_serving();
+    // Longer than the request has: it would fail if it waited for the store.
+    this->store.delay = 8s;
+    EXPECT_EQ(this->ask("/ask/1", "t1", "").status, 200);
+    this->store.delay = 400ms;
+    EXPECT_EQ(this->submit("j1"), 202);
+    this->wait_for_results("j1", 2);
+    EXPECT_EQ(this->store.count("jobs"), 1U);
+}
+
 TEST_F(node_process_test, a_lost_answer_of_the_store_does_not_double_a_job)
 {
     this->start_serving();
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -116,6 +116,12 @@
     {
         co_return;
     }
+    if (this->delay.count() > 0)
+    {
+        asio::steady_timer timer(this->context);
+        timer.expires_after(this->delay);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
     const std::string target = exchange.head().target;
     if (this->fault == store_fault::refuses ||
         this->fault == store_fault::is_busy)
--- a/tests/standins/store_standin.hpp
+++ b/tests/standins/store_standin.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -55,6 +56,8 @@
     std::size_t count(const std::string& table) const;
 
     store_fault fault = store_fault::none;
+    /// Time before each call is done.
+    std::chrono::milliseconds delay{0};
     int transactions = 0;
 
 private:
