Slot scheduler: Count and judge the runners' slots in a class of their own

What a node no longer has is dropped in one place, for a restart and for a report alike. The mean run of each runner was kept and never read; it is gone. The number that waits is that of the order in hand and is not counted again. No decision changes; the tests are as they were.

--- a/policy/serving/serving.hpp
+++ b/policy/serving/serving.hpp
@@ -11,6 +11,7 @@
 #include "policy/serving/job_ownership.hpp"
 #include "policy/serving/job_record.hpp"
 #include "policy/serving/runner_directory.hpp"
+#include "policy/serving/runner_slots.hpp"
 #include "policy/serving/serving_configuration.hpp"
 #include "policy/serving/slot_messages.hpp"
 #include "policy/serving/slot_scheduler.hpp"
--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -46,7 +46,8 @@
 } // namespace
 
 slot_scheduler::slot_scheduler(slot_scheduler_settings initial)
-    : settings(initial), crashes(initial.crash_memory),
+    : settings(initial), runners(initial.runners),
+      crashes(initial.crash_memory),
       mean_online_us(static_cast<double>(initial.first_online_run.count()))
 {
 }
@@ -54,22 +55,7 @@
 std::vector<slot_verdict> slot_scheduler::set_runners(
     time_point now, const std::vector<slot_runner>& usable)
 {
-    for (auto& [id, use] : this->runners)
-    {
-        use.usable = false;
-    }
-    for (const slot_runner& runner : usable)
-    {
-        runner_use& use = this->runners[runner.id];
-        use.runner = runner;
-        use.usable = true;
-    }
-    std::erase_if(
-        this->runners,
-        [](const auto& item)
-        {
-            return !item.second.usable && item.second.used == 0;
-        });
+    this->runners.set_usable(usable);
     verdicts out;
     this->dispatch(out, now);
     return out;
@@ -87,23 +73,42 @@
     contact.heard = now;
 }
 
-void slot_scheduler::drop_node(const std::string& node, std::uint64_t before)
+void slot_scheduler::drop_of_node(
+    const std::string& node,
+    const std::function<bool(const slot_id&, time_point)>& has_ended)
 {
     const slot_id first = {node, 0, 0};
-    const slot_id end = {node, before, 0};
-    std::vector<slot_id> lost;
+    std::vector<slot_id> ended;
     for (auto run = this->running.lower_bound(first);
-         run != this->running.end() && run->first < end;
+         run != this->running.end() && run->first.node == node;
          ++run)
     {
-        lost.push_back(run->first);
+        if (has_ended(run->first, run->second.since))
+        {
+            ended.push_back(run->first);
+        }
     }
-    for (const slot_id& id : lost)
+    for (const slot_id& id : ended)
     {
         this->remove_running(id);
     }
-    this->queue.erase(
-        this->queue.lower_bound(first), this->queue.lower_bound(end));
+    for (auto waiting = this->queue.lower_bound(first);
+         waiting != this->queue.end() && waiting->first.node == node;)
+    {
+        waiting = has_ended(waiting->first, waiting->second.arrived)
+                      ? this->queue.erase(waiting)
+                      : std::next(waiting);
+    }
+}
+
+void slot_scheduler::drop_node(const std::string& node, std::uint64_t before)
+{
+    this->drop_of_node(
+        node,
+        [before](const slot_id& id, time_point)
+        {
+            return id.incarnation < before;
+        });
 }
 
 void slot_scheduler::add_running(
@@ -122,13 +127,7 @@
     {
         this->batch_runs.insert(id);
     }
-    runner_use& use = this->runners[runner];
-    if (use.runner.id.empty())
-    {
-        use.runner.id = runner;
-        use.usable = false;
-    }
-    ++use.used;
+    this->runners.begin_run(runner);
 }
 
 void slot_scheduler::remove_running(const slot_id& id)
@@ -138,10 +137,9 @@
     {
         return;
     }
-    const auto use = this->runners.find(found->second.runner);
-    if (use != this->runners.end() && !found->second.yielding)
+    if (!found->second.yielding)
     {
-        --use->second.used;
+        this->runners.end_run(found->second.runner);
     }
     this->batch_runs.erase(id);
     this->running.erase(found);
@@ -203,36 +201,17 @@
 void slot_scheduler::learn(
     time_point now, const running_slot& run, slot_outcome outcome)
 {
-    const auto found = this->runners.find(run.runner);
-    if (found == this->runners.end())
-    {
-        return;
-    }
-    runner_use& use = found->second;
-    const bool failed = outcome == slot_outcome::unreachable ||
-                        outcome == slot_outcome::broken ||
-                        outcome == slot_outcome::crashed ||
-                        outcome == slot_outcome::refused;
-    if (failed)
-    {
-        if (outcome != slot_outcome::refused)
-        {
-            use.suspect_since = now;
-        }
-        use.paused_until = now + this->settings.failure_pause;
-    }
+    this->runners.on_outcome(now, run.runner, outcome);
     if (outcome != slot_outcome::completed)
     {
         return;
     }
-    use.suspect_since.reset();
-    use.last_progress = now;
     this->crashes.lone_run_completed(run.request_digest, now);
     if (run.kind == work_kind::online)
     {
-        const double length = static_cast<double>((now - run.since).count());
-        update_mean(use.mean_run_us, length);
-        update_mean(this->mean_online_us, length);
+        update_mean(
+            this->mean_online_us,
+            static_cast<double>((now - run.since).count()));
     }
 }
 
@@ -325,112 +304,18 @@
             this->add_waiting(now, request);
         }
     }
-    this->note_silence(now, held);
-    this->drop_unnamed(now, node, named);
+    this->runners.note_silence(now, held);
+    this->drop_of_node(
+        node,
+        [&](const slot_id& id, time_point begun)
+        {
+            return !named.contains(id) &&
+                   now - begun > this->settings.report_slack;
+        });
     this->dispatch(out, now);
     return out;
 }
 
-void slot_scheduler::note_silence(
-    time_point now, const std::vector<held_slot>& held)
-{
-    for (const held_slot& slot : held)
-    {
-        if (const auto found = this->runners.find(slot.runner);
-            found != this->runners.end())
-        {
-            time_point& last = found->second.last_progress;
-            last = std::max(last, now - slot.silence);
-        }
-    }
-    for (const held_slot& slot : held)
-    {
-        const auto found = this->runners.find(slot.runner);
-        if (found == this->runners.end() || found->second.suspect_since)
-        {
-            continue;
-        }
-        const duration limit = this->settings.silence_limit;
-        if (slot.silence >= limit && now - found->second.last_progress >= limit)
-        {
-            found->second.suspect_since = now;
-        }
-    }
-}
-
-void slot_scheduler::drop_unnamed(
-    time_point now, const std::string& node, const std::set<slot_id>& named)
-{
-    const slot_id first = {node, 0, 0};
-    std::vector<slot_id> ended;
-    for (auto run = this->running.lower_bound(first);
-         run != this->running.end() && run->first.node == node;
-         ++run)
-    {
-        if (!named.contains(run->first) &&
-            now - run->second.since > this->settings.report_slack)
-        {
-            ended.push_back(run->first);
-        }
-    }
-    for (const slot_id& id : ended)
-    {
-        this->remove_running(id);
-    }
-    for (auto waiting = this->queue.lower_bound(first);
-         waiting != this->queue.end() && waiting->first.node == node;)
-    {
-        const bool ended_there =
-            !named.contains(waiting->first) &&
-            now - waiting->second.arrived > this->settings.report_slack;
-        waiting = ended_there ? this->queue.erase(waiting) : std::next(waiting);
-    }
-}
-
-bool slot_scheduler::may_use(
-    time_point now, const runner_use& use, const slot_request& request) const
-{
-    if (!use.usable || now < use.paused_until)
-    {
-        return false;
-    }
-    if (use.suspect_since &&
-        (use.used > 0 ||
-         (!request.repeatable &&
-          now - *use.suspect_since < this->settings.suspect_time)))
-    {
-        return false;
-    }
-    return std::find(
-               request.excluded.begin(),
-               request.excluded.end(),
-               use.runner.id) == request.excluded.end();
-}
-
-slot_scheduler::runner_use*
-slot_scheduler::choose_free(time_point now, const slot_request& request)
-{
-    runner_use* best = nullptr;
-    // The own zone goes first, then the runner with the most idle slots.
-    std::tuple<bool, std::int64_t> best_rank;
-    for (auto& [id, use] : this->runners)
-    {
-        const std::int64_t idle = use.runner.slots - use.used;
-        if (idle <= 0 || !this->may_use(now, use, request))
-        {
-            continue;
-        }
-        const std::tuple<bool, std::int64_t> rank(
-            use.runner.zone == request.zone, idle);
-        if (best == nullptr || rank > best_rank)
-        {
-            best = &use;
-            best_rank = rank;
-        }
-    }
-    return best;
-}
-
 std::optional<slot_id> slot_scheduler::choose_yield(
     time_point now, const slot_request& request, bool only_put_off) const
 {
@@ -445,16 +330,13 @@
         {
             continue;
         }
-        const auto use = this->runners.find(run.runner);
-        if (use == this->runners.end() ||
-            use->second.used > use->second.runner.slots ||
-            !this->may_use(now, use->second, request))
+        if (!this->runners.may_displace(now, run.runner, request))
         {
             continue;
         }
         const std::tuple<bool, bool, time_point, time_point> rank(
             is_put_off,
-            use->second.runner.zone == request.zone,
+            this->runners.is_in_zone(run.runner, request.zone),
             run.due,
             run.since);
         if (!best || rank > best_rank)
@@ -466,7 +348,7 @@
     return best;
 }
 
-slot_scheduler::runner_use* slot_scheduler::make_room(
+std::optional<std::string> slot_scheduler::make_room(
     verdicts& out,
     time_point now,
     const slot_request& request,
@@ -476,16 +358,15 @@
         this->choose_yield(now, request, only_put_off);
     if (!leaving)
     {
-        return nullptr;
+        return std::nullopt;
     }
     running_slot& run = this->running.at(*leaving);
-    runner_use& use = this->runners.at(run.runner);
     run.yielding = true;
     this->batch_runs.erase(*leaving);
-    --use.used;
+    this->runners.end_run(run.runner);
     out.push_back(
         {*leaving, verdict_kind::yield, run.runner, duration::zero()});
-    return &use;
+    return run.runner;
 }
 
 bool slot_scheduler::plan_items(time_point now)
@@ -525,7 +406,7 @@
 }
 
 void slot_scheduler::grant(
-    verdicts& out, time_point now, slot_id id, runner_use& use)
+    verdicts& out, time_point now, slot_id id, const std::string& runner)
 {
     const auto found = this->queue.find(id);
     const work_kind kind = found->second.request.kind;
@@ -534,14 +415,14 @@
     const std::uint64_t digest = found->second.request.request_digest;
     this->refused.erase(digest);
     this->queue.erase(found);
-    this->add_running(id, kind, use.runner.id, now);
+    this->add_running(id, kind, runner, now);
     this->running.at(id).request_digest = digest;
     if (kind == work_kind::batch)
     {
         this->running.at(id).due = due;
         this->running.at(id).done_at = now + work;
     }
-    out.push_back({id, verdict_kind::granted, use.runner.id, duration::zero()});
+    out.push_back({id, verdict_kind::granted, runner, duration::zero()});
 }
 
 std::vector<const slot_id*> slot_scheduler::order_online(time_point now)
@@ -618,12 +499,13 @@
         {
             continue;
         }
-        runner_use* free = this->choose_free(now, request);
-        if (free == nullptr)
+        std::optional<std::string> free =
+            this->runners.choose_free(now, request);
+        if (!free)
         {
             free = this->make_room(out, now, request, false);
         }
-        if (free != nullptr)
+        if (free)
         {
             this->grant(out, now, *id, *free);
         }
@@ -635,18 +517,6 @@
     }
 }
 
-std::int64_t slot_scheduler::idle_slots() const
-{
-    std::int64_t idle = 0;
-    for (const auto& [id, use] : this->runners)
-    {
-        idle += use.usable
-                    ? std::max<std::int64_t>(0, use.runner.slots - use.used)
-                    : 0;
-    }
-    return idle;
-}
-
 std::int64_t slot_scheduler::reserved_slots(time_point now)
 {
     while (!this->arrivals.empty() &&
@@ -663,7 +533,7 @@
     verdicts& out, time_point now, bool may_displace)
 {
     may_displace = may_displace && !this->put_off.empty();
-    std::int64_t idle = this->idle_slots() - this->reserved_slots(now);
+    std::int64_t idle = this->runners.idle() - this->reserved_slots(now);
     if (!may_displace && idle <= 0)
     {
         return;
@@ -671,13 +541,17 @@
     for (const slot_id* id : this->order_batch())
     {
         const slot_request& request = this->queue.at(*id).request;
-        runner_use* free = idle > 0 ? this->choose_free(now, request) : nullptr;
-        idle -= free != nullptr ? 1 : 0;
-        if (free == nullptr && may_displace && !this->put_off.contains(*id))
+        std::optional<std::string> free;
+        if (idle > 0)
+        {
+            free = this->runners.choose_free(now, request);
+            idle -= free ? 1 : 0;
+        }
+        if (!free && may_displace && !this->put_off.contains(*id))
         {
             free = this->make_room(out, now, request, true);
         }
-        if (free != nullptr)
+        if (free)
         {
             this->grant(out, now, *id, *free);
         }
@@ -732,10 +606,11 @@
     {
         return;
     }
-    std::size_t position = 0;
+    const std::vector<const slot_id*> order = this->order_online(now);
     const wait_estimate waits = this->estimate_waits(now);
-    std::size_t still_waiting = this->waiting(work_kind::online);
-    for (const slot_id* id : this->order_online(now))
+    std::size_t position = 0;
+    std::size_t still_waiting = order.size();
+    for (const slot_id* id : order)
     {
         const auto found = this->queue.find(*id);
         const waiting_request& waiting = found->second;
@@ -818,12 +693,7 @@
 
 std::int64_t slot_scheduler::total_slots() const
 {
-    std::int64_t total = 0;
-    for (const auto& [id, use] : this->runners)
-    {
-        total += use.usable ? use.runner.slots : 0;
-    }
-    return total;
+    return this->runners.total();
 }
 
 } // namespace chicory::serving
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -3,12 +3,14 @@
 
 #include "policy/online/online.hpp"
 #include "policy/serving/item_plan.hpp"
+#include "policy/serving/runner_slots.hpp"
 #include "policy/serving/slot_messages.hpp"
 #include "policy/serving/wait_estimate.hpp"
 
 #include <chrono>
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -21,6 +23,7 @@
 /// Times by which the scheduler judges.
 struct slot_scheduler_settings
 {
+    runner_slots_settings runners;
     /// Expected length of an online run before any has ended.
     duration first_online_run = std::chrono::milliseconds(750);
     /// Time from sending a request to a free slot until its first piece.
@@ -39,16 +42,6 @@
     std::int64_t decision_share = 4;
     /// Share of the time left that callers honour in `Retry-After`.
     double honoured_share = 1.0 / 3.0;
-    /// A runner that failed gets one run at a time until one is completed,
-    /// and none for this time.
-    duration failure_pause = std::chrono::milliseconds(400);
-    /// A runner of which no node had a byte for so long, with work under way,
-    /// may be gone. Between two pieces lie some 30 ms; a lost packet comes
-    /// again after 200 ms.
-    duration silence_limit = std::chrono::milliseconds(450);
-    /// A suspect runner is tried with work that may be repeated; where there
-    /// is none, with any work after this time.
-    duration suspect_time = std::chrono::seconds(2);
     /// Idle slots are kept free of items for the online requests that are
     /// expected within this time: an item there would only run a moment.
     duration reserve_time = std::chrono::milliseconds(80);
@@ -60,16 +53,6 @@
     duration batch_slots_time = std::chrono::seconds(6);
 };
 
-/// A runner with the slots that may be used.
-struct slot_runner
-{
-    std::string id;
-    std::string zone;
-    std::int64_t slots = 0;
-
-    bool operator==(const slot_runner&) const = default;
-};
-
 /// Gives the slots of one service's runners to online requests and batch
 /// items of all nodes, so that a runner never has more than it can work on at
 /// once. It answers these load patterns:
@@ -86,8 +69,7 @@
 /// - Copies of a request that crashes the runners that begin it, sent by many
 ///   nodes: after the first crash its copies run one at a time, after the
 ///   second none is run.
-/// - Runners that go silent with requests under way, whose connections stay:
-///   they get no more work until a run is completed there.
+/// - Runners that fail or go silent: see `runner_slots`.
 /// - More batch work than fits: the earliest due first among the items that
 ///   `choose_put_off` keeps, then the others; these also leave their slots
 ///   first.
@@ -152,20 +134,6 @@
         time_point gives_up_at;
         bool returned = false;
     };
-    struct runner_use
-    {
-        slot_runner runner;
-        bool usable = true;
-        std::int64_t used = 0;
-        /// Since when the runner is suspect; set by a failure or by silence
-        /// until a run is completed.
-        std::optional<time_point> suspect_since;
-        /// When a node last had bytes from the runner.
-        time_point last_progress;
-        time_point paused_until;
-        /// Mean length of completed online runs.
-        double mean_run_us = 0.0;
-    };
     struct node_contact
     {
         std::uint64_t incarnation = 0;
@@ -175,14 +143,12 @@
 
     void
     hear(time_point now, const std::string& node, std::uint64_t incarnation);
-    void drop_node(const std::string& node, std::uint64_t before);
-    /// Takes from a node's slots which runners are silent.
-    void note_silence(time_point now, const std::vector<held_slot>& held);
-    /// Drops what a node had and no longer reports.
-    void drop_unnamed(
-        time_point now,
+    /// Drops runs and requests of a node, those for which `has_ended` holds;
+    /// it is told when they began to run or wait.
+    void drop_of_node(
         const std::string& node,
-        const std::set<slot_id>& named);
+        const std::function<bool(const slot_id&, time_point)>& has_ended);
+    void drop_node(const std::string& node, std::uint64_t before);
     void add_running(
         const slot_id& id,
         work_kind kind,
@@ -191,22 +157,19 @@
     void remove_running(const slot_id& id);
     void add_waiting(time_point now, const slot_request& request);
     void learn(time_point now, const running_slot& run, slot_outcome outcome);
-    bool may_use(
-        time_point now,
-        const runner_use& use,
-        const slot_request& request) const;
-    runner_use* choose_free(time_point now, const slot_request& request);
     std::optional<slot_id> choose_yield(
         time_point now, const slot_request& request, bool only_put_off) const;
-    runner_use* make_room(
+    /// Tells a batch run to leave and returns its runner; nothing when none
+    /// can make room for the request.
+    std::optional<std::string> make_room(
         verdicts& out,
         time_point now,
         const slot_request& request,
         bool only_put_off);
     bool plan_items(time_point now);
-    std::int64_t idle_slots() const;
     std::int64_t reserved_slots(time_point now);
-    void grant(verdicts& out, time_point now, slot_id id, runner_use& use);
+    void
+    grant(verdicts& out, time_point now, slot_id id, const std::string& runner);
     void quarantine_waiting(verdicts& out, time_point now);
     void dispatch_online(verdicts& out, time_point now);
     void dispatch_batch(verdicts& out, time_point now, bool may_displace);
@@ -223,7 +186,7 @@
     std::vector<const slot_id*> order_batch() const;
 
     slot_scheduler_settings settings;
-    std::map<std::string, runner_use> runners;
+    runner_slots runners;
     std::map<slot_id, running_slot> running;
     /// Batch runs that were not told to leave.
     std::set<slot_id> batch_runs;
