Slot scheduler: Judge crashing requests when they come and when one crashes

For ten minutes after any crash each packet looked at all that wait. A request is judged once when it comes, by itself or in a report, and waiting copies when a crash is heard of. Requests and reports take a request by one function. The verdicts stay as they were; a test for a new coordinator is added.

--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -162,11 +162,9 @@
     }
 }
 
-std::vector<slot_verdict>
-slot_scheduler::on_request(time_point now, const slot_request& request)
+bool slot_scheduler::take_request(
+    verdicts& out, time_point now, const slot_request& request)
 {
-    verdicts out;
-    this->hear(now, request.id.node, request.id.incarnation);
     if (const auto run = this->running.find(request.id);
         run != this->running.end())
     {
@@ -175,19 +173,29 @@
              verdict_kind::granted,
              run->second.runner,
              duration::zero()});
-        return out;
+        return false;
     }
-    if (this->crashes.judge(request.request_digest, now) ==
-        online::quarantine_verdict::quarantined)
+    if (this->is_quarantined(now, request.request_digest))
     {
-        this->queue.erase(request.id);
         out.push_back(
             {request.id, verdict_kind::quarantined, "", duration::zero()});
-        return out;
+        return false;
     }
-    if (!this->queue.contains(request.id))
+    if (this->queue.contains(request.id))
+    {
+        return false;
+    }
+    this->add_waiting(now, request);
+    return true;
+}
+
+std::vector<slot_verdict>
+slot_scheduler::on_request(time_point now, const slot_request& request)
+{
+    verdicts out;
+    this->hear(now, request.id.node, request.id.incarnation);
+    if (this->take_request(out, now, request))
     {
-        this->add_waiting(now, request);
         this->dispatch(out, now);
         this->refuse_late(out, now);
     }
@@ -230,11 +238,13 @@
     return out;
 }
 
-void slot_scheduler::on_crash(time_point now, const crashed_run& run)
+std::vector<slot_verdict>
+slot_scheduler::on_crash(time_point now, const crashed_run& run)
 {
+    verdicts out;
     if (run.request_digest == 0)
     {
-        return;
+        return out;
     }
     online::suspicion notice;
     notice.fingerprint = run.request_digest;
@@ -242,6 +252,33 @@
     notice.incarnation = run.id.number;
     notice.time_to_live = this->settings.crash_memory;
     this->crashes.merge(notice, now);
+    if (this->is_quarantined(now, run.request_digest))
+    {
+        this->quarantine_waiting(out, run.request_digest);
+    }
+    return out;
+}
+
+bool slot_scheduler::is_quarantined(
+    time_point now, std::uint64_t request_digest) const
+{
+    return this->crashes.judge(request_digest, now) ==
+           online::quarantine_verdict::quarantined;
+}
+
+void slot_scheduler::quarantine_waiting(
+    verdicts& out, std::uint64_t request_digest)
+{
+    for (const slot_id& id : this->online_queue)
+    {
+        const auto found = this->queue.find(id);
+        if (found != this->queue.end() &&
+            found->second.request.request_digest == request_digest)
+        {
+            out.push_back({id, verdict_kind::quarantined, "", {}});
+            this->queue.erase(found);
+        }
+    }
 }
 
 bool slot_scheduler::is_running(std::uint64_t request_digest) const
@@ -290,19 +327,7 @@
     for (const slot_request& request : waiting)
     {
         named.insert(request.id);
-        const auto run = this->running.find(request.id);
-        if (run != this->running.end())
-        {
-            out.push_back(
-                {request.id,
-                 verdict_kind::granted,
-                 run->second.runner,
-                 duration::zero()});
-        }
-        else if (!this->queue.contains(request.id))
-        {
-            this->add_waiting(now, request);
-        }
+        this->take_request(out, now, request);
     }
     this->runners.note_silence(now, held);
     this->drop_of_node(
@@ -461,32 +486,12 @@
     return sort_ids(std::move(order));
 }
 
-void slot_scheduler::quarantine_waiting(verdicts& out, time_point now)
-{
-    if (this->crashes.size() == 0)
-    {
-        return;
-    }
-    for (const slot_id& id : std::set<slot_id>(this->online_queue))
-    {
-        const auto found = this->queue.find(id);
-        if (found != this->queue.end() &&
-            this->crashes.judge(found->second.request.request_digest, now) ==
-                online::quarantine_verdict::quarantined)
-        {
-            out.push_back({id, verdict_kind::quarantined, "", {}});
-            this->queue.erase(found);
-        }
-    }
-}
-
 void slot_scheduler::dispatch_online(verdicts& out, time_point now)
 {
     // What a request finds free, one that excludes no runner and may be
     // repeated finds too. Of a queue without slots, only few are looked at.
     bool repeatable_may_find = true;
     bool others_may_find = true;
-    this->quarantine_waiting(out, now);
     for (const slot_id* id : this->order_online(now))
     {
         const slot_request& request = this->queue.at(*id).request;
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -95,7 +95,8 @@
 
     /// Takes that a run of the request with this digest ended at a runner
     /// that closed the connection. Hearing of one run twice changes nothing.
-    void on_crash(time_point now, const crashed_run& run);
+    /// Copies that wait get their verdict when none may run any more.
+    std::vector<slot_verdict> on_crash(time_point now, const crashed_run& run);
 
     /// Takes all slots that a node uses and all requests of it that wait.
     std::vector<slot_verdict> on_report(
@@ -156,6 +157,10 @@
         time_point since);
     void remove_running(const slot_id& id);
     void add_waiting(time_point now, const slot_request& request);
+    /// Answers a request that is known or must not run; lets another one wait
+    /// and returns true.
+    bool
+    take_request(verdicts& out, time_point now, const slot_request& request);
     void learn(time_point now, const running_slot& run, slot_outcome outcome);
     std::optional<slot_id> choose_yield(
         time_point now, const slot_request& request, bool only_put_off) const;
@@ -170,7 +175,8 @@
     std::int64_t reserved_slots(time_point now);
     void
     grant(verdicts& out, time_point now, slot_id id, const std::string& runner);
-    void quarantine_waiting(verdicts& out, time_point now);
+    bool is_quarantined(time_point now, std::uint64_t request_digest) const;
+    void quarantine_waiting(verdicts& out, std::uint64_t request_digest);
     void dispatch_online(verdicts& out, time_point now);
     void dispatch_batch(verdicts& out, time_point now, bool may_displace);
     void dispatch(verdicts& out, time_point now);
--- a/servers/node/slot_service.cpp
+++ b/servers/node/slot_service.cpp
@@ -149,7 +149,11 @@
             this->scheduler_of(now, release->service);
         if (release->outcome == serving::slot_outcome::crashed)
         {
-            scheduler.on_crash(now, {release->request_digest, release->id});
+            this->answer(
+                release->service,
+                "",
+                scheduler.on_crash(
+                    now, {release->request_digest, release->id}));
         }
         this->answer(
             release->service,
@@ -162,7 +166,7 @@
             this->scheduler_of(now, report->service);
         for (const serving::crashed_run& run : report->crashed)
         {
-            scheduler.on_crash(now, run);
+            this->answer(report->service, "", scheduler.on_crash(now, run));
         }
         this->answer(
             report->service,
--- a/tests/policy/serving/slot_scheduler_test.cpp
+++ b/tests/policy/serving/slot_scheduler_test.cpp
@@ -475,9 +475,12 @@
 
     std::vector<slot_verdict> crash(time_point now, std::uint64_t copy)
     {
-        this->scheduler.on_crash(now, {77, id_of(copy)});
-        return this->scheduler.on_release(
-            now, id_of(copy), slot_outcome::crashed);
+        std::vector<slot_verdict> all =
+            this->scheduler.on_crash(now, {77, id_of(copy)});
+        const std::vector<slot_verdict> after =
+            this->scheduler.on_release(now, id_of(copy), slot_outcome::crashed);
+        all.insert(all.end(), after.begin(), after.end());
+        return all;
     }
 };
 
@@ -529,6 +532,19 @@
         of_kind(this->send(start + 900ms, 4), verdict_kind::granted).size(), 1);
 }
 
+TEST_F(crashing_request_test, a_new_coordinator_does_not_run_it_either)
+{
+    this->give_runners(6, 4);
+    this->scheduler.on_crash(start, {77, id_of(1)});
+    this->scheduler.on_crash(start, {77, id_of(2)});
+    slot_request waiting = make_online(3, "node-3");
+    waiting.request_digest = 77;
+    const std::vector<slot_verdict> told =
+        this->scheduler.on_report(start, "node-3", 1, {}, {waiting});
+    EXPECT_EQ(of_kind(told, verdict_kind::quarantined).size(), 1);
+    EXPECT_EQ(of_kind(told, verdict_kind::granted).size(), 0);
+}
+
 TEST_F(crashing_request_test, hearing_of_one_crash_twice_changes_nothing)
 {
     this->give_runners(6, 4);
