--- a/drivers/http_table_service.cpp
+++ b/drivers/http_table_service.cpp
@@ -138,25 +138,9 @@
         question["prefix"] = prefix;
         question["after"] = after;
         question["limit"] = limit;
-        result<net::http_response> response = co_await this->caller.read(
+        const result<net::http_response> response = co_await this->caller.read(
             "POST", "/table/scan", json::serialize(question));
-        if (!response)
-        {
-            co_return response.error();
-        }
-        BOOST_OUTCOME_CO_TRY(
-            const json::value body, parse_body(response.value()));
-        co_return read_safely(
-            [&body]()
-            {
-                std::vector<ports::row> rows;
-                for (const json::value& line : body.at("rows").as_array())
-                {
-                    rows.push_back(read_row(line));
-                }
-                return rows;
-            },
-            response.value().body);
+        co_return read_list(response, "rows", read_row);
     }
 
     asio::awaitable<result<ports::transaction_outcome>>
--- a/drivers/http_vm_list.cpp
+++ b/drivers/http_vm_list.cpp
@@ -54,25 +54,9 @@
 
     asio::awaitable<result<std::vector<ports::listed_vm>>> read() override
     {
-        result<net::http_response> response =
+        const result<net::http_response> response =
             co_await this->caller.read("GET", "/vms", "");
-        if (!response)
-        {
-            co_return response.error();
-        }
-        BOOST_OUTCOME_CO_TRY(
-            const json::value body, parse_body(response.value()));
-        co_return read_safely(
-            [&body]()
-            {
-                std::vector<ports::listed_vm> vms;
-                for (const json::value& line : body.at("vms").as_array())
-                {
-                    vms.push_back(read_listed_vm(line));
-                }
-                return vms;
-            },
-            response.value().body);
+        co_return read_list(response, "vms", read_listed_vm);
     }
 
 private:
--- a/drivers/json_caller.hpp
+++ b/drivers/json_caller.hpp
@@ -10,6 +10,7 @@
 #include <exception>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace chicory::drivers
 {
@@ -58,6 +59,34 @@
     }
 }
 
+/// Reads the list under `field` of an answer, each entry by `read_entry`.
+/// Errors: that of the call; internal for an answer of another form.
+template <class Reader>
+auto read_list(
+    const result<net::http_response>& response,
+    std::string_view field,
+    Reader read_entry)
+    -> result<std::vector<decltype(read_entry(boost::json::value()))>>
+{
+    if (!response)
+    {
+        return response.error();
+    }
+    BOOST_OUTCOME_TRY(
+        const boost::json::value body, parse_body(response.value()));
+    return read_safely(
+        [&]()
+        {
+            std::vector<decltype(read_entry(boost::json::value()))> entries;
+            for (const boost::json::value& line : body.at(field).as_array())
+            {
+                entries.push_back(read_entry(line));
+            }
+            return entries;
+        },
+        response.value().body);
+}
+
 } // namespace chicory::drivers
 
 #endif
