Jobs: Keep texts in a cache of its own, and read items and routes in one place

Reading a job's items, finding its route, noting a change, a limit or a missing job, and judging whether an item has finished stood twice or more. Choosing items copied each job's record; it looks at it now. Two declarations without a function, and a time that nothing used, are gone. The log names why items could not be read; else nothing changes.

--- a/policy/serving/runner_directory.cpp
+++ b/policy/serving/runner_directory.cpp
@@ -116,9 +116,8 @@
     }
 }
 
-void runner_directory::on_store_lost(time_point now)
+void runner_directory::on_store_lost()
 {
-    static_cast<void>(now);
     this->store_away = true;
 }
 
--- a/policy/serving/runner_directory.hpp
+++ b/policy/serving/runner_directory.hpp
@@ -72,7 +72,7 @@
         std::int64_t version);
 
     /// Takes that the store stopped and began to answer.
-    void on_store_lost(time_point now);
+    void on_store_lost();
     void on_store_back(time_point now);
 
     /// Takes that a runner refused because it is not the one named, or said
--- a/servers/node/fleet_knowledge.cpp
+++ b/servers/node/fleet_knowledge.cpp
@@ -7,6 +7,24 @@
 namespace chicory::node
 {
 
+namespace
+{
+
+/// Reads a runner's entry; one that cannot be read is logged.
+result<serving::runner_entry> read_entry(const ports::record& source)
+{
+    result<serving::runner_entry> entry = platform::read_runner(source);
+    if (!entry)
+    {
+        log_event(
+            event::runner_entry_rejected,
+            {{"runner", source.key}, {"error", entry.error().text}});
+    }
+    return entry;
+}
+
+} // namespace
+
 fleet_knowledge::fleet_knowledge(
     boost::asio::io_context& io,
     ports::record_store& store,
@@ -63,6 +81,17 @@
     return this->in_force;
 }
 
+std::shared_ptr<const serving::serving_route>
+fleet_knowledge::find_route(const std::string& name) const
+{
+    if (this->in_force == nullptr)
+    {
+        return nullptr;
+    }
+    // The route keeps the configuration that it is part of.
+    return {this->in_force, serving::find_route_by_name(*this->in_force, name)};
+}
+
 const std::string& fleet_knowledge::configuration_text() const
 {
     return this->in_force_text;
@@ -113,12 +142,9 @@
         this->directory.on_removed(now, changed.key, changed.version);
         return;
     }
-    const result<serving::runner_entry> entry = platform::read_runner(changed);
+    const result<serving::runner_entry> entry = read_entry(changed);
     if (!entry)
     {
-        log_event(
-            event::runner_entry_rejected,
-            {{"runner", changed.key}, {"error", entry.error().text}});
         this->directory.on_removed(now, changed.key, changed.version);
         return;
     }
@@ -133,12 +159,9 @@
     this->records.clear();
     for (const ports::record& found : records)
     {
-        result<serving::runner_entry> entry = platform::read_runner(found);
+        result<serving::runner_entry> entry = read_entry(found);
         if (!entry)
         {
-            log_event(
-                event::runner_entry_rejected,
-                {{"runner", found.key}, {"error", entry.error().text}});
             continue;
         }
         entries.push_back(std::move(entry.value()));
@@ -149,13 +172,12 @@
 
 void fleet_knowledge::on_contact(bool reached)
 {
-    const time_point now = read_monotonic_clock();
     if (reached)
     {
-        this->directory.on_store_back(now);
+        this->directory.on_store_back(read_monotonic_clock());
         return;
     }
-    this->directory.on_store_lost(now);
+    this->directory.on_store_lost();
 }
 
 void fleet_knowledge::offer_runner(const ports::record& source)
--- a/servers/node/fleet_knowledge.hpp
+++ b/servers/node/fleet_knowledge.hpp
@@ -36,6 +36,10 @@
     /// in progress keep the one they began with.
     std::shared_ptr<const serving::serving_configuration> configuration() const;
 
+    /// Returns a route of the configuration in force, or null.
+    std::shared_ptr<const serving::serving_route>
+    find_route(const std::string& name) const;
+
     /// Returns the text of the configuration in force, for other nodes.
     const std::string& configuration_text() const;
 
--- a/servers/node/item_run.cpp
+++ b/servers/node/item_run.cpp
@@ -131,12 +131,8 @@
 
 asio::awaitable<item_run::step> item_run::run_once()
 {
-    const std::shared_ptr<const serving::serving_configuration> configuration =
-        this->services.knowledge.configuration();
-    const serving::serving_route* found =
-        configuration == nullptr
-            ? nullptr
-            : serving::find_route_by_name(*configuration, this->route);
+    const std::shared_ptr<const serving::serving_route> found =
+        this->services.knowledge.find_route(this->route);
     if (found == nullptr)
     {
         co_await this->pause(no_route_pause);
--- a/servers/node/job_front.cpp
+++ b/servers/node/job_front.cpp
@@ -158,18 +158,7 @@
     {
         co_return *running;
     }
-    const result<std::string> body = co_await this->ledger.read_body(job);
-    if (!body)
-    {
-        co_return body.error();
-    }
-    result<std::vector<platform::job_item>> read =
-        platform::read_submission(body.value());
-    if (!read)
-    {
-        co_return make_error(error_kind::unavailable, read.error().text);
-    }
-    co_return read;
+    co_return co_await this->ledger.read_items(std::move(job));
 }
 
 asio::awaitable<result<std::vector<std::string>>>
@@ -255,13 +244,8 @@
             call.job, after, read_monotonic_clock() + wait);
         known = this->ledger.find(call.job);
     }
-    if (known != nullptr && known->listed.size() > after)
-    {
-        const serving::job_record job = *known;
-        co_await this->respond_results(exchange, job, call.after);
-        co_return;
-    }
-    if (known != nullptr && this->ledger.is_fresh())
+    if (known != nullptr &&
+        (known->listed.size() > after || this->ledger.is_fresh()))
     {
         const serving::job_record job = *known;
         co_await this->respond_results(exchange, job, call.after);
--- a/servers/node/job_ledger.cpp
+++ b/servers/node/job_ledger.cpp
@@ -79,6 +79,34 @@
     return id + static_cast<char>('/' + 1);
 }
 
+error make_missing_error(const std::string& id)
+{
+    return make_error(error_kind::not_found, "there is no job " + id);
+}
+
+/// Joins the records of a text; nothing when one of them is missing.
+std::optional<std::string> join_text(
+    const std::map<std::string, const std::string*>& values,
+    const std::string& id,
+    std::size_t position,
+    std::int64_t parts)
+{
+    std::string text;
+    for (std::int64_t part = 0; part < parts; ++part)
+    {
+        const auto value = values.find(make_text_key(
+            id,
+            static_cast<std::int64_t>(position),
+            static_cast<std::size_t>(part)));
+        if (value == values.end())
+        {
+            return std::nullopt;
+        }
+        text += *value->second;
+    }
+    return text;
+}
+
 } // namespace
 
 job_ledger::job_ledger(
@@ -100,14 +128,18 @@
            [this](const ports::record& changed)
            {
                this->take(changed);
-               if (this->on_change)
-               {
-                   this->on_change();
-               }
+               this->tell_change();
            },
            [](bool) {}},
           seed,
-          change_gather_time)
+          change_gather_time),
+      texts(
+          most_kept_bytes,
+          [this](const std::string& id)
+          {
+              const serving::job_record* job = this->find(id);
+              return job == nullptr ? 0 : job->accepted_ms;
+          })
 {
 }
 
@@ -134,6 +166,20 @@
     }
 }
 
+void job_ledger::tell_change()
+{
+    if (this->on_change)
+    {
+        this->on_change();
+    }
+}
+
+void job_ledger::note_limit(const std::string& partition, std::int64_t version)
+{
+    std::int64_t& known = this->limit_versions[partition];
+    known = std::max(known, version);
+}
+
 void job_ledger::adopt(const std::string& partition, serving::job_record record)
 {
     const std::string id = record.id;
@@ -151,8 +197,7 @@
 {
     if (changed.key == limit_key)
     {
-        std::int64_t& version = this->limit_versions[changed.partition];
-        version = std::max(version, changed.version);
+        this->note_limit(changed.partition, changed.version);
         return;
     }
     if (changed.deleted)
@@ -193,10 +238,7 @@
             return !present.contains(item.first) &&
                    item.second.record.version <= version;
         });
-    if (this->on_change)
-    {
-        this->on_change();
-    }
+    this->tell_change();
 }
 
 const serving::job_record* job_ledger::find(const std::string& id) const
@@ -361,14 +403,10 @@
             job.version = outcome.value().version;
             if (most_waiting_tokens > 0)
             {
-                std::int64_t& version = this->limit_versions[partition];
-                version = std::max(version, job.version);
+                this->note_limit(partition, job.version);
             }
             this->adopt(partition, std::move(job));
-            if (this->on_change)
-            {
-                this->on_change();
-            }
+            this->tell_change();
             co_return submit_outcome::accepted;
         }
         if (outcome)
@@ -441,7 +479,7 @@
             co_return partition;
         }
     }
-    co_return make_error(error_kind::not_found, "there is no job " + id);
+    co_return make_missing_error(id);
 }
 
 asio::awaitable<result<serving::job_record>> job_ledger::look_up(std::string id)
@@ -459,7 +497,7 @@
     }
     if (!found.value())
     {
-        co_return make_error(error_kind::not_found, "there is no job " + id);
+        co_return make_missing_error(id);
     }
     this->take(*found.value());
     const serving::job_record* known = this->find(id);
@@ -490,8 +528,7 @@
         const auto known = this->jobs.find(id);
         if (known == this->jobs.end())
         {
-            co_return make_error(
-                error_kind::not_found, "there is no job " + id);
+            co_return make_missing_error(id);
         }
         const serving::job_record before = known->second.record;
         const std::string partition = known->second.partition;
@@ -513,10 +550,7 @@
         {
             next->record.version = outcome.value().version;
             this->adopt(partition, next->record);
-            if (this->on_change)
-            {
-                this->on_change();
-            }
+            this->tell_change();
             co_return next->record;
         }
         if (outcome)
@@ -569,38 +603,41 @@
 void job_ledger::keep_text(
     const std::string& id, std::int64_t position, std::string text)
 {
-    kept_texts& kept = this->texts[id];
-    if (kept.by_position.contains(position))
-    {
-        return;
-    }
-    kept.bytes += text.size();
-    this->kept_bytes += text.size();
-    kept.by_position[position] = std::move(text);
-    this->drop_texts();
+    this->texts.keep(id, position, std::move(text));
 }
 
-void job_ledger::drop_texts()
+asio::awaitable<result<void>> job_ledger::load_texts(
+    const serving::job_record& job, std::string partition, std::size_t position)
 {
-    while (this->kept_bytes > most_kept_bytes && this->texts.size() > 1)
+    ports::record_range range{
+        std::string(text_table),
+        std::move(partition),
+        make_text_key(job.id, static_cast<std::int64_t>(position), 0),
+        end_of_keys(job.id)};
+    const result<ports::record_page> page =
+        co_await this->records.read(std::move(range));
+    if (!page)
+    {
+        co_return page.error();
+    }
+    std::map<std::string, const std::string*> values;
+    for (const ports::record& entry : page.value().records)
     {
-        // The job that was accepted first is read least.
-        auto oldest = this->texts.begin();
-        std::int64_t oldest_ms = INT64_MAX;
-        for (auto entry = this->texts.begin(); entry != this->texts.end();
-             ++entry)
+        values[entry.key] = &entry.value;
+    }
+    // One read brings the texts of many positions.
+    for (std::size_t next = position; next < job.listed.size(); ++next)
+    {
+        std::optional<std::string> text =
+            join_text(values, job.id, next, job.listed[next].text_records);
+        if (!text)
         {
-            const serving::job_record* job = this->find(entry->first);
-            const std::int64_t accepted = job == nullptr ? 0 : job->accepted_ms;
-            if (accepted < oldest_ms)
-            {
-                oldest = entry;
-                oldest_ms = accepted;
-            }
+            break;
         }
-        this->kept_bytes -= oldest->second.bytes;
-        this->texts.erase(oldest);
+        this->keep_text(
+            job.id, static_cast<std::int64_t>(next), std::move(*text));
     }
+    co_return boost::outcome_v2::success();
 }
 
 asio::awaitable<result<std::vector<std::string>>> job_ledger::read_texts(
@@ -609,7 +646,7 @@
     const auto known = this->jobs.find(id);
     if (known == this->jobs.end())
     {
-        co_return make_error(error_kind::not_found, "there is no job " + id);
+        co_return make_missing_error(id);
     }
     const serving::job_record job = known->second.record;
     const std::string partition = known->second.partition;
@@ -620,52 +657,19 @@
          ++position)
     {
         const std::int64_t at = static_cast<std::int64_t>(position);
-        const std::int64_t parts = job.listed[position].text_records;
-        if (parts > 0 && !this->texts[id].by_position.contains(at))
+        const bool is_empty = job.listed[position].text_records == 0;
+        if (!is_empty && this->texts.find(id, at) == nullptr)
         {
-            ports::record_range range{
-                std::string(text_table),
-                partition,
-                make_text_key(id, at, 0),
-                end_of_keys(id)};
-            const result<ports::record_page> page =
-                co_await this->records.read(std::move(range));
-            if (!page)
+            const result<void> loaded =
+                co_await this->load_texts(job, partition, position);
+            if (!loaded)
             {
-                co_return page.error();
-            }
-            std::map<std::string, const std::string*> values;
-            for (const ports::record& entry : page.value().records)
-            {
-                values[entry.key] = &entry.value;
-            }
-            // One read brings the texts of many positions.
-            for (std::size_t next = position; next < job.listed.size(); ++next)
-            {
-                std::string text;
-                bool whole = true;
-                for (std::int64_t part = 0;
-                     part < job.listed[next].text_records;
-                     ++part)
-                {
-                    const auto value = values.find(make_text_key(
-                        id,
-                        static_cast<std::int64_t>(next),
-                        static_cast<std::size_t>(part)));
-                    whole = whole && value != values.end();
-                    text += whole ? *value->second : std::string();
-                }
-                if (!whole)
-                {
-                    break;
-                }
-                this->keep_text(
-                    id, static_cast<std::int64_t>(next), std::move(text));
+                co_return loaded.error();
             }
         }
-        const kept_texts& kept = this->texts[id];
-        const auto text = kept.by_position.find(at);
-        if (parts > 0 && text == kept.by_position.end())
+        const std::string empty;
+        const std::string* text = is_empty ? &empty : this->texts.find(id, at);
+        if (text == nullptr)
         {
             if (!found.empty())
             {
@@ -676,13 +680,12 @@
                 "job " + id + ": expected the text at position " +
                     std::to_string(position) + ", found none");
         }
-        const std::size_t size = parts > 0 ? text->second.size() : 0;
-        if (!found.empty() && bytes + size > byte_limit)
+        if (!found.empty() && bytes + text->size() > byte_limit)
         {
             break;
         }
-        bytes += size;
-        found.push_back(parts > 0 ? text->second : std::string());
+        bytes += text->size();
+        found.push_back(*text);
     }
     co_return found;
 }
@@ -692,7 +695,7 @@
     const auto known = this->jobs.find(id);
     if (known == this->jobs.end())
     {
-        co_return make_error(error_kind::not_found, "there is no job " + id);
+        co_return make_missing_error(id);
     }
     const std::int64_t parts = known->second.record.body_records;
     if (parts == 0)
@@ -726,6 +729,23 @@
     co_return body;
 }
 
+asio::awaitable<result<std::vector<platform::job_item>>>
+job_ledger::read_items(std::string id)
+{
+    const result<std::string> body = co_await this->read_body(std::move(id));
+    if (!body)
+    {
+        co_return body.error();
+    }
+    result<std::vector<platform::job_item>> items =
+        platform::read_submission(body.value());
+    if (!items)
+    {
+        co_return make_error(error_kind::unavailable, items.error().text);
+    }
+    co_return items;
+}
+
 asio::awaitable<void> job_ledger::wait_for_results(
     std::string id, std::size_t count, time_point until)
 {
--- a/servers/node/job_ledger.hpp
+++ b/servers/node/job_ledger.hpp
@@ -1,9 +1,11 @@
 #ifndef CHICORY_SERVERS_NODE_JOB_LEDGER_HPP
 #define CHICORY_SERVERS_NODE_JOB_LEDGER_HPP
 
+#include "platform/platform.hpp"
 #include "policy/serving/serving.hpp"
 #include "ports/ports.hpp"
 #include "servers/node/table_watch.hpp"
+#include "servers/node/text_cache.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -98,8 +100,9 @@
     boost::asio::awaitable<result<std::vector<std::string>>>
     read_texts(std::string id, std::int64_t from, std::size_t byte_limit);
 
-    /// Returns the submission of a job. Errors: not_found, unavailable.
-    boost::asio::awaitable<result<std::string>> read_body(std::string id);
+    /// Returns the items of a job in order. Errors: not_found, unavailable.
+    boost::asio::awaitable<result<std::vector<platform::job_item>>>
+    read_items(std::string id);
 
     /// Makes the records that hold the text of a result.
     std::vector<ports::record_write> make_text_writes(
@@ -122,17 +125,13 @@
         serving::job_record record;
         std::string partition;
     };
-    struct kept_texts
-    {
-        std::map<std::int64_t, std::string> by_position;
-        std::size_t bytes = 0;
-    };
-
     void take(const ports::record& changed);
     void
     take_all(const std::vector<ports::record>& records, std::int64_t version);
     void adopt(const std::string& partition, serving::job_record record);
     void notify(const std::string& id);
+    void tell_change();
+    void note_limit(const std::string& partition, std::int64_t version);
     std::int64_t waiting_on(const std::string& partition) const;
     std::vector<ports::record_write>
     make_body_writes(serving::job_record& job, const std::string& body) const;
@@ -141,7 +140,12 @@
     boost::asio::awaitable<result<void>>
     catch_up(std::string partition, std::int64_t version);
     boost::asio::awaitable<result<std::string>> find_partition(std::string id);
-    void drop_texts();
+    boost::asio::awaitable<result<std::string>> read_body(std::string id);
+    /// Reads the texts from a position on into the cache.
+    boost::asio::awaitable<result<void>> load_texts(
+        const serving::job_record& job,
+        std::string partition,
+        std::size_t position);
 
     boost::asio::io_context& context;
     ports::record_store& records;
@@ -152,8 +156,7 @@
     std::map<std::string, known_job> jobs;
     /// Version of the record that orders acceptances, by partition.
     std::map<std::string, std::int64_t> limit_versions;
-    std::map<std::string, kept_texts> texts;
-    std::size_t kept_bytes = 0;
+    text_cache texts;
     std::map<std::string, std::set<boost::asio::steady_timer*>> waiters;
 };
 
--- a/servers/node/job_runner.cpp
+++ b/servers/node/job_runner.cpp
@@ -224,29 +224,20 @@
     }
     else
     {
-        const result<std::string> body = co_await this->ledger.read_body(id);
-        if (body)
-        {
-            result<std::vector<platform::job_item>> read =
-                platform::read_submission(body.value());
-            if (read)
-            {
-                items = std::move(read.value());
-            }
-        }
-        if (items.empty())
+        result<std::vector<platform::job_item>> read =
+            co_await this->ledger.read_items(id);
+        if (!read)
         {
             log_event(
                 event::commit_deferred,
-                {{"job", id},
-                 {"error",
-                  body ? "the submission cannot be read" : body.error().text}});
+                {{"job", id}, {"error", read.error().text}});
             asio::steady_timer pause(this->context);
             pause.expires_after(load_retry);
             co_await pause.async_wait(as_result);
             this->busy.erase(id);
             co_return;
         }
+        items = std::move(read.value());
     }
     this->busy.erase(id);
     const serving::job_record* record = this->ledger.find(id);
@@ -284,20 +275,20 @@
         {
             run->second->stop();
         }
-        const bool known = std::any_of(
-            job.finished.begin(),
-            job.finished.end(),
-            [item](const finished_item& entry)
-            {
-                return entry.item == item;
-            });
-        if (!known)
+        if (!this->is_finished(job, item))
         {
             job.finished.push_back({item, serving::item_state::errored, ""});
         }
     }
 }
 
+std::shared_ptr<const serving::serving_route>
+job_runner::find_route(const serving::job_record* job) const
+{
+    return job == nullptr ? nullptr
+                          : this->services.knowledge.find_route(job->route);
+}
+
 std::size_t job_runner::count_waiting() const
 {
     std::size_t waiting = 0;
@@ -311,46 +302,40 @@
     return waiting;
 }
 
-bool job_runner::is_launched(const active_job& job, std::int64_t item) const
+bool job_runner::is_finished(const active_job& job, std::int64_t item)
 {
-    return job.runs.contains(item) || std::any_of(
-                                          job.finished.begin(),
-                                          job.finished.end(),
-                                          [item](const finished_item& entry)
-                                          {
-                                              return entry.item == item;
-                                          });
+    return std::any_of(
+        job.finished.begin(),
+        job.finished.end(),
+        [item](const finished_item& entry)
+        {
+            return entry.item == item;
+        });
 }
 
 /// Starts items by the due times of their jobs, those that can be in time
 /// before the others.
 void job_runner::launch()
 {
-    const auto configuration = this->services.knowledge.configuration();
-    if (configuration == nullptr)
-    {
-        return;
-    }
     struct candidate
     {
         bool late = false;
         duration left = duration::zero();
         std::shared_ptr<active_job> job;
-        const serving::serving_route* route = nullptr;
+        const serving::job_record* record = nullptr;
+        std::shared_ptr<const serving::serving_route> route;
     };
     std::vector<candidate> jobs;
     for (const auto& [id, job] : this->active)
     {
         const serving::job_record* record = this->ledger.find(id);
-        const serving::serving_route* route =
-            record == nullptr
-                ? nullptr
-                : serving::find_route_by_name(*configuration, record->route);
+        const auto route = this->find_route(record);
         if (route != nullptr)
         {
             const duration left =
                 route->completion_target - this->ledger.age_of(*record);
-            jobs.push_back({left < shortest_item_time, left, job, route});
+            jobs.push_back(
+                {left < shortest_item_time, left, job, record, route});
         }
     }
     std::stable_sort(
@@ -364,14 +349,14 @@
     std::size_t waiting = this->count_waiting();
     for (const candidate& next : jobs)
     {
-        const serving::job_record record = *this->ledger.find(next.job->id);
-        for (const std::int64_t item : serving::unlisted_items(record))
+        for (const std::int64_t item : serving::unlisted_items(*next.record))
         {
             if (waiting >= most_waiting_items)
             {
                 return;
             }
-            if (!this->is_launched(*next.job, item))
+            if (!next.job->runs.contains(item) &&
+                !this->is_finished(*next.job, item))
             {
                 this->launch_item(next.job, item, *next.route, next.left);
                 ++waiting;
@@ -418,12 +403,7 @@
         serving::item_failures& counts = job->failures[item];
         (end == item_end::failed ? counts.failed : counts.impossible) += 1;
         job->failures_changed = true;
-        const auto configuration = this->services.knowledge.configuration();
-        const serving::job_record* record = this->ledger.find(job->id);
-        const serving::serving_route* route =
-            configuration == nullptr || record == nullptr
-                ? nullptr
-                : serving::find_route_by_name(*configuration, record->route);
+        const auto route = this->find_route(this->ledger.find(job->id));
         const std::int64_t most = route == nullptr ? 1 : route->max_attempts;
         if (route != nullptr && serving::judge_failures(counts, most) ==
                                     serving::failure_verdict::give_up)
--- a/servers/node/job_runner.hpp
+++ b/servers/node/job_runner.hpp
@@ -75,9 +75,6 @@
     void tick();
     void review(time_point now);
     void review_owned(const serving::job_record& job);
-    bool should_take_over(
-        const serving::job_record& job, const std::vector<std::string>& live);
-    bool owns(const serving::job_record& job) const;
     void stop(active_job& job);
     void launch();
     void launch_item(
@@ -86,7 +83,10 @@
         const serving::serving_route& route,
         duration left);
     std::size_t count_waiting() const;
-    bool is_launched(const active_job& job, std::int64_t item) const;
+    static bool is_finished(const active_job& job, std::int64_t item);
+    /// Returns the route of a job, or null when the job or its route is gone.
+    std::shared_ptr<const serving::serving_route>
+    find_route(const serving::job_record* job) const;
     boost::asio::awaitable<void> take_over(std::string id);
     boost::asio::awaitable<void> load(std::string id);
     boost::asio::awaitable<void>
--- a/tests/policy/serving/runner_directory_test.cpp
+++ b/tests/policy/serving/runner_directory_test.cpp
@@ -63,7 +63,7 @@
 {
     runner_directory directory;
     directory.on_entry(start, make_entry("r", 1));
-    directory.on_store_lost(start + 1s);
+    directory.on_store_lost();
     directory.on_store_back(start + 6s);
     directory.on_snapshot(start + 6s, {}, 9);
     EXPECT_TRUE(directory.is_usable(start + 7s, "r"));
@@ -75,7 +75,7 @@
 {
     runner_directory directory;
     directory.on_entry(start, make_entry("r", 1));
-    directory.on_store_lost(start + 1s);
+    directory.on_store_lost();
     directory.on_store_back(start + 6s);
     directory.on_snapshot(start + 6s, {}, 9);
     directory.on_entry(start + 7s, make_entry("r", 10));
@@ -89,7 +89,7 @@
     runner_entry draining = make_entry("r", 1);
     draining.state = runner_state::draining;
     directory.on_entry(start, draining);
-    directory.on_store_lost(start + 1s);
+    directory.on_store_lost();
     directory.on_store_back(start + 6s);
     directory.on_snapshot(start + 6s, {}, 9);
     EXPECT_EQ(directory.find("r"), nullptr);
