--- a/servers/node/job_ledger.cpp
+++ b/servers/node/job_ledger.cpp
@@ -1,12 +1,12 @@
 #include "servers/node/job_ledger.hpp"
 
+#include "servers/node/job_records.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <array>
 #include <chrono>
-#include <cstdio>
 #include <utility>
 
 namespace chicory::node
@@ -18,12 +18,6 @@
 {
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
-constexpr std::string_view job_table = "jobs";
-constexpr std::string_view body_table = "job_bodies";
-constexpr std::string_view text_table = "job_texts";
-/// Key of the record that orders the acceptances of a route. No job has such
-/// an id.
-constexpr std::string_view limit_key = "/limit";
 /// Largest submission that goes into records; the store takes 1 MB in a call,
 /// and values grow by a third on the way.
 constexpr std::size_t most_body_bytes = 600000;
@@ -39,74 +33,11 @@
 /// Bytes of texts that a node keeps for reads.
 constexpr std::size_t most_kept_bytes = 32 << 20;
 
-std::string make_partition(const std::string& route)
-{
-    std::array<char, 24> name{};
-    std::snprintf(
-        name.data(),
-        name.size(),
-        "r%016llx",
-        static_cast<unsigned long long>(hash_bytes(route)));
-    return name.data();
-}
-
-std::string
-make_text_key(const std::string& id, std::int64_t position, std::size_t part)
-{
-    std::array<char, 32> suffix{};
-    std::snprintf(
-        suffix.data(),
-        suffix.size(),
-        "/%06lld/%02zu",
-        static_cast<long long>(position),
-        part);
-    return id + suffix.data();
-}
-
-std::string make_body_key(const std::string& id, std::size_t part)
-{
-    return make_text_key(id, 0, part);
-}
-
-std::string make_object_name(const std::string& id)
-{
-    return "job-" + id;
-}
-
-/// First key behind those that begin with an id and a slash.
-std::string end_of_keys(const std::string& id)
-{
-    return id + static_cast<char>('/' + 1);
-}
-
 error make_missing_error(const std::string& id)
 {
     return make_error(error_kind::not_found, "there is no job " + id);
 }
 
-/// Joins the records of a text; nothing when one of them is missing.
-std::optional<std::string> join_text(
-    const std::map<std::string, const std::string*>& values,
-    const std::string& id,
-    std::size_t position,
-    std::int64_t parts)
-{
-    std::string text;
-    for (std::int64_t part = 0; part < parts; ++part)
-    {
-        const auto value = values.find(make_text_key(
-            id,
-            static_cast<std::int64_t>(position),
-            static_cast<std::size_t>(part)));
-        if (value == values.end())
-        {
-            return std::nullopt;
-        }
-        text += *value->second;
-    }
-    return text;
-}
-
 } // namespace
 
 job_ledger::job_ledger(
@@ -117,17 +48,23 @@
     std::uint64_t seed)
     : context(io), records(record_store), objects(object_store),
       value_bytes(static_cast<std::size_t>(record_bytes)),
+      view(
+          [this](const std::string& id)
+          {
+              this->notify(id);
+          }),
       watch(
           io,
           record_store,
           std::string(job_table),
           {[this](const std::vector<ports::record>& found, std::int64_t version)
            {
-               this->take_all(found, version);
+               this->view.take_all(found, version);
+               this->tell_change();
            },
            [this](const ports::record& changed)
            {
-               this->take(changed);
+               this->view.take(changed);
                this->tell_change();
            },
            [](bool) {}},
@@ -174,87 +111,15 @@
     }
 }
 
-void job_ledger::note_limit(const std::string& partition, std::int64_t version)
-{
-    std::int64_t& known = this->limit_versions[partition];
-    known = std::max(known, version);
-}
-
-void job_ledger::adopt(const std::string& partition, serving::job_record record)
-{
-    const std::string id = record.id;
-    const auto found = this->jobs.find(id);
-    if (found != this->jobs.end() &&
-        found->second.record.version >= record.version)
-    {
-        return;
-    }
-    this->jobs[id] = {std::move(record), partition};
-    this->notify(id);
-}
-
-void job_ledger::take(const ports::record& changed)
-{
-    if (changed.key == limit_key)
-    {
-        this->note_limit(changed.partition, changed.version);
-        return;
-    }
-    if (changed.deleted)
-    {
-        const auto found = this->jobs.find(changed.key);
-        if (found != this->jobs.end() &&
-            found->second.record.version < changed.version)
-        {
-            this->jobs.erase(found);
-        }
-        return;
-    }
-    result<serving::job_record> record =
-        serving::decode_job(changed.key, changed.value, changed.version);
-    if (!record)
-    {
-        log_event(
-            event::job_record_rejected,
-            {{"job", changed.key}, {"error", record.error().text}});
-        return;
-    }
-    this->adopt(changed.partition, std::move(record.value()));
-}
-
-void job_ledger::take_all(
-    const std::vector<ports::record>& found, std::int64_t version)
-{
-    std::set<std::string> present;
-    for (const ports::record& entry : found)
-    {
-        present.insert(entry.key);
-        this->take(entry);
-    }
-    std::erase_if(
-        this->jobs,
-        [&](const auto& item)
-        {
-            return !present.contains(item.first) &&
-                   item.second.record.version <= version;
-        });
-    this->tell_change();
-}
-
 const serving::job_record* job_ledger::find(const std::string& id) const
 {
-    const auto found = this->jobs.find(id);
-    return found == this->jobs.end() ? nullptr : &found->second.record;
+    const known_job* known = this->view.find(id);
+    return known == nullptr ? nullptr : &known->record;
 }
 
 std::vector<const serving::job_record*> job_ledger::all() const
 {
-    std::vector<const serving::job_record*> listed;
-    for (const auto& [id, known] : this->jobs)
-    {
-        listed.push_back(&known.record);
-    }
-    return listed;
+    return this->view.all();
 }
 
 bool job_ledger::is_fresh() const
@@ -270,19 +135,6 @@
         std::max<std::int64_t>(0, now_ms - job.accepted_ms));
 }
 
-std::int64_t job_ledger::waiting_on(const std::string& partition) const
-{
-    std::int64_t sum = 0;
-    for (const auto& [id, known] : this->jobs)
-    {
-        if (known.partition == partition)
-        {
-            sum += serving::waiting_tokens(known.record);
-        }
-    }
-    return sum;
-}
-
 asio::awaitable<result<std::optional<ports::record>>>
 job_ledger::read_one(std::string partition, std::string table, std::string key)
 {
@@ -309,7 +161,7 @@
 {
     asio::steady_timer timer(this->context);
     const time_point until = read_monotonic_clock() + duration(catch_up_limit);
-    while (this->limit_versions[partition] < version)
+    while (this->view.limit_version(partition) < version)
     {
         if (read_monotonic_clock() >= until)
         {
@@ -317,7 +169,7 @@
                 error_kind::unavailable,
                 "jobs: expected changes up to version " +
                     std::to_string(version) + ", found them up to " +
-                    std::to_string(this->limit_versions[partition]));
+                    std::to_string(this->view.limit_version(partition)));
         }
         timer.expires_after(catch_up_pause);
         co_await timer.async_wait(as_result);
@@ -325,21 +177,6 @@
     co_return boost::outcome_v2::success();
 }
 
-std::vector<ports::record_write> job_ledger::make_body_writes(
-    serving::job_record& job, const std::string& body) const
-{
-    std::vector<ports::record_write> writes;
-    for (std::size_t at = 0; at < body.size(); at += this->value_bytes)
-    {
-        writes.push_back(
-            {std::string(body_table),
-             make_body_key(job.id, writes.size()),
-             body.substr(at, this->value_bytes)});
-    }
-    job.body_records = static_cast<std::int64_t>(writes.size());
-    return writes;
-}
-
 asio::awaitable<submit_outcome> job_ledger::submit(
     serving::job_record job, std::string body, std::int64_t most_waiting_tokens)
 {
@@ -358,7 +195,9 @@
     }
     else
     {
-        body_writes = this->make_body_writes(job, body);
+        body_writes =
+            make_part_writes(body_table, job.id, 0, body, this->value_bytes);
+        job.body_records = static_cast<std::int64_t>(body_writes.size());
     }
     bool may_exist = false;
     while (true)
@@ -383,7 +222,7 @@
         if (most_waiting_tokens > 0)
         {
             const std::int64_t waiting =
-                this->waiting_on(partition) + serving::waiting_tokens(job);
+                this->view.waiting_on(partition) + serving::waiting_tokens(job);
             if (waiting > most_waiting_tokens && !may_exist)
             {
                 co_return submit_outcome::over_limit;
@@ -391,7 +230,7 @@
             request.conditions.push_back(
                 {std::string(job_table),
                  std::string(limit_key),
-                 this->limit_versions[partition]});
+                 this->view.limit_version(partition)});
             request.writes.push_back(
                 {std::string(job_table), std::string(limit_key), job.id});
         }
@@ -403,9 +242,9 @@
             job.version = outcome.value().version;
             if (most_waiting_tokens > 0)
             {
-                this->note_limit(partition, job.version);
+                this->view.note_limit(partition, job.version);
             }
-            this->adopt(partition, std::move(job));
+            this->view.adopt(partition, std::move(job));
             this->tell_change();
             co_return submit_outcome::accepted;
         }
@@ -419,7 +258,7 @@
                     newest_limit = found.version;
                     continue;
                 }
-                this->take(found);
+                this->view.take(found);
             }
             if (this->find(job.id) != nullptr)
             {
@@ -455,9 +294,9 @@
 
 asio::awaitable<result<std::string>> job_ledger::find_partition(std::string id)
 {
-    if (const auto found = this->jobs.find(id); found != this->jobs.end())
+    if (const known_job* known = this->view.find(id))
     {
-        co_return found->second.partition;
+        co_return known->partition;
     }
     const result<std::vector<std::string>> partitions =
         co_await this->records.list_partitions(std::string(job_table));
@@ -475,7 +314,7 @@
         }
         if (found.value())
         {
-            this->take(*found.value());
+            this->view.take(*found.value());
             co_return partition;
         }
     }
@@ -499,7 +338,7 @@
     {
         co_return make_missing_error(id);
     }
-    this->take(*found.value());
+    this->view.take(*found.value());
     const serving::job_record* known = this->find(id);
     if (known == nullptr)
     {
@@ -525,13 +364,13 @@
     bool may_have_landed = false;
     while (true)
     {
-        const auto known = this->jobs.find(id);
-        if (known == this->jobs.end())
+        const known_job* known = this->view.find(id);
+        if (known == nullptr)
         {
             co_return make_missing_error(id);
         }
-        const serving::job_record before = known->second.record;
-        const std::string partition = known->second.partition;
+        const serving::job_record before = known->record;
+        const std::string partition = known->partition;
         std::optional<job_change> next = wanted(before);
         if (!next)
         {
@@ -549,7 +388,7 @@
         if (outcome && outcome.value().committed)
         {
             next->record.version = outcome.value().version;
-            this->adopt(partition, next->record);
+            this->view.adopt(partition, next->record);
             this->tell_change();
             co_return next->record;
         }
@@ -557,7 +396,7 @@
         {
             for (const ports::record& found : outcome.value().conflicts)
             {
-                this->take(found);
+                this->view.take(found);
             }
             if (const serving::job_record* now = this->find(id);
                 now != nullptr && now->version > before.version)
@@ -587,17 +426,7 @@
 std::vector<ports::record_write> job_ledger::make_text_writes(
     const std::string& id, std::int64_t position, std::string_view text) const
 {
-    std::vector<ports::record_write> writes;
-    while (!text.empty())
-    {
-        const std::string_view part = text.substr(0, this->value_bytes);
-        writes.push_back(
-            {std::string(text_table),
-             make_text_key(id, position, writes.size()),
-             std::string(part)});
-        text.remove_prefix(part.size());
-    }
-    return writes;
+    return make_part_writes(text_table, id, position, text, this->value_bytes);
 }
 
 void job_ledger::keep_text(
@@ -609,11 +438,8 @@
 asio::awaitable<result<void>> job_ledger::load_texts(
     const serving::job_record& job, std::string partition, std::size_t position)
 {
-    ports::record_range range{
-        std::string(text_table),
-        std::move(partition),
-        make_text_key(job.id, static_cast<std::int64_t>(position), 0),
-        end_of_keys(job.id)};
+    ports::record_range range = make_part_range(
+        text_table, partition, job.id, static_cast<std::int64_t>(position));
     const result<ports::record_page> page =
         co_await this->records.read(std::move(range));
     if (!page)
@@ -628,14 +454,14 @@
     // One read brings the texts of many positions.
     for (std::size_t next = position; next < job.listed.size(); ++next)
     {
+        const std::int64_t at = static_cast<std::int64_t>(next);
         std::optional<std::string> text =
-            join_text(values, job.id, next, job.listed[next].text_records);
+            join_parts(values, job.id, at, job.listed[next].text_records);
         if (!text)
         {
             break;
         }
-        this->keep_text(
-            job.id, static_cast<std::int64_t>(next), std::move(*text));
+        this->keep_text(job.id, at, std::move(*text));
     }
     co_return boost::outcome_v2::success();
 }
@@ -643,13 +469,13 @@
 asio::awaitable<result<std::vector<std::string>>> job_ledger::read_texts(
     std::string id, std::int64_t from, std::size_t byte_limit)
 {
-    const auto known = this->jobs.find(id);
-    if (known == this->jobs.end())
+    const known_job* known = this->view.find(id);
+    if (known == nullptr)
     {
         co_return make_missing_error(id);
     }
-    const serving::job_record job = known->second.record;
-    const std::string partition = known->second.partition;
+    const serving::job_record job = known->record;
+    const std::string partition = known->partition;
     std::vector<std::string> found;
     std::size_t bytes = 0;
     for (std::size_t position = static_cast<std::size_t>(from);
@@ -692,21 +518,18 @@
 
 asio::awaitable<result<std::string>> job_ledger::read_body(std::string id)
 {
-    const auto known = this->jobs.find(id);
-    if (known == this->jobs.end())
+    const known_job* known = this->view.find(id);
+    if (known == nullptr)
     {
         co_return make_missing_error(id);
     }
-    const std::int64_t parts = known->second.record.body_records;
+    const std::int64_t parts = known->record.body_records;
     if (parts == 0)
     {
         co_return co_await this->objects.get(make_object_name(id));
     }
-    ports::record_range range{
-        std::string(body_table),
-        known->second.partition,
-        make_body_key(id, 0),
-        end_of_keys(id)};
+    ports::record_range range =
+        make_part_range(body_table, known->partition, id, 0);
     const result<ports::record_page> page =
         co_await this->records.read(std::move(range));
     if (!page)
--- a/servers/node/job_ledger.hpp
+++ b/servers/node/job_ledger.hpp
@@ -4,6 +4,7 @@
 #include "platform/platform.hpp"
 #include "policy/serving/serving.hpp"
 #include "ports/ports.hpp"
+#include "servers/node/job_view.hpp"
 #include "servers/node/table_watch.hpp"
 #include "servers/node/text_cache.hpp"
 
@@ -120,21 +121,8 @@
     wait_for_results(std::string id, std::size_t count, time_point until);
 
 private:
-    struct known_job
-    {
-        serving::job_record record;
-        std::string partition;
-    };
-    void take(const ports::record& changed);
-    void
-    take_all(const std::vector<ports::record>& records, std::int64_t version);
-    void adopt(const std::string& partition, serving::job_record record);
     void notify(const std::string& id);
     void tell_change();
-    void note_limit(const std::string& partition, std::int64_t version);
-    std::int64_t waiting_on(const std::string& partition) const;
-    std::vector<ports::record_write>
-    make_body_writes(serving::job_record& job, const std::string& body) const;
     boost::asio::awaitable<result<std::optional<ports::record>>>
     read_one(std::string partition, std::string table, std::string key);
     boost::asio::awaitable<result<void>>
@@ -151,11 +139,9 @@
     ports::record_store& records;
     ports::object_store& objects;
     std::size_t value_bytes;
+    job_view view;
     table_watch watch;
     std::function<void()> on_change;
-    std::map<std::string, known_job> jobs;
-    /// Version of the record that orders acceptances, by partition.
-    std::map<std::string, std::int64_t> limit_versions;
     text_cache texts;
     std::map<std::string, std::set<boost::asio::steady_timer*>> waiters;
 };
--- /dev/null
+++ b/servers/node/job_records.cpp
@@ -0,0 +1,98 @@
+#include "servers/node/job_records.hpp"
+
+#include <array>
+#include <cstdio>
+
+namespace chicory::node
+{
+
+namespace
+{
+
+std::string
+make_part_key(const std::string& id, std::int64_t position, std::size_t part)
+{
+    std::array<char, 32> suffix{};
+    std::snprintf(
+        suffix.data(),
+        suffix.size(),
+        "/%06lld/%02zu",
+        static_cast<long long>(position),
+        part);
+    return id + suffix.data();
+}
+
+} // namespace
+
+std::string make_partition(const std::string& route)
+{
+    std::array<char, 24> name{};
+    std::snprintf(
+        name.data(),
+        name.size(),
+        "r%016llx",
+        static_cast<unsigned long long>(hash_bytes(route)));
+    return name.data();
+}
+
+std::string make_object_name(const std::string& id)
+{
+    return "job-" + id;
+}
+
+ports::record_range make_part_range(
+    std::string_view table,
+    const std::string& partition,
+    const std::string& id,
+    std::int64_t position)
+{
+    // The range ends before the first key behind those that begin with the id
+    // and a slash.
+    return {
+        std::string(table),
+        partition,
+        make_part_key(id, position, 0),
+        id + static_cast<char>('/' + 1)};
+}
+
+std::vector<ports::record_write> make_part_writes(
+    std::string_view table,
+    const std::string& id,
+    std::int64_t position,
+    std::string_view text,
+    std::size_t value_bytes)
+{
+    std::vector<ports::record_write> writes;
+    while (!text.empty())
+    {
+        const std::string_view part = text.substr(0, value_bytes);
+        writes.push_back(
+            {std::string(table),
+             make_part_key(id, position, writes.size()),
+             std::string(part)});
+        text.remove_prefix(part.size());
+    }
+    return writes;
+}
+
+std::optional<std::string> join_parts(
+    const std::map<std::string, const std::string*>& values,
+    const std::string& id,
+    std::int64_t position,
+    std::int64_t parts)
+{
+    std::string text;
+    for (std::int64_t part = 0; part < parts; ++part)
+    {
+        const auto value = values.find(
+            make_part_key(id, position, static_cast<std::size_t>(part)));
+        if (value == values.end())
+        {
+            return std::nullopt;
+        }
+        text += *value->second;
+    }
+    return text;
+}
+
+} // namespace chicory::node
