--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -1,9 +1,5 @@
 #include "servers/node/node_process.hpp"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -16,16 +12,13 @@
 {
 
 namespace asio = boost::asio;
-using asio::ip::udp;
 
 namespace
 {
 
-constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr int status_not_found = 404;
 constexpr int status_too_large = 413;
 constexpr int status_unavailable = 503;
-constexpr std::size_t largest_datagram = 65536;
 /// Time to come back to a node that knows no configuration yet.
 constexpr std::chrono::milliseconds no_configuration_retry(500);
 /// Time for which a stopping node still takes new requests, while callers
@@ -84,13 +77,21 @@
               this->on_members_changed();
           }),
       peers(io, this->settings, this->store, this->knowledge, this->members),
-      slot_socket(io),
+      packets(
+          io,
+          this->settings,
+          this->members,
+          this->numbers,
+          [this](const std::string& sender, const wire::slot_packet& packet)
+          {
+              this->take_slot_packet(sender, packet);
+          }),
       coordinator(
           io,
           this->knowledge,
           [this](const std::string& node, const wire::slot_packet& packet)
           {
-              this->send_slot_packet(node, packet);
+              this->packets.send(node, packet);
           }),
       slots(
           io,
@@ -100,7 +101,7 @@
           this->incarnation,
           {[this](const std::string& node, const wire::slot_packet& packet)
            {
-               this->send_slot_packet(node, packet);
+               this->packets.send(node, packet);
            },
            [this]
            {
@@ -213,25 +214,10 @@
             return bound;
         }
     }
-    boost::system::error_code code;
-    const udp::endpoint local(
-        asio::ip::make_address(this->settings.address, code),
-        this->settings.slot_port);
-    this->slot_socket.open(local.protocol(), code);
-    if (!code)
-    {
-        this->slot_socket.bind(local, code);
-    }
-    if (code)
+    if (const result<void> bound = this->packets.start(); !bound)
     {
-        return make_error(
-            error_kind::unavailable,
-            "UDP " + this->settings.address + ":" +
-                std::to_string(this->settings.slot_port) + ": " +
-                code.message());
+        return bound;
     }
-    this->slot_socket.non_blocking(true);
-    asio::co_spawn(this->context, this->receive_slots(), asio::detached);
     if (const result<void> joined = this->members.start(); !joined)
     {
         return joined;
@@ -410,20 +396,29 @@
     co_await this->serve_online(exchange, configuration, *route, arrived);
 }
 
+asio::awaitable<result<std::string>> node_process::read_caller_body(
+    net::http_exchange& exchange,
+    const serving::serving_configuration& configuration)
+{
+    result<std::string> body = co_await exchange.read_body(
+        static_cast<std::size_t>(configuration.limits.body_bytes));
+    if (!body && body.error().kind == error_kind::invalid_input)
+    {
+        co_await exchange.respond(
+            net::make_text_response(status_too_large, body.error().text));
+    }
+    co_return body;
+}
+
 asio::awaitable<void> node_process::serve_submission(
     net::http_exchange& exchange,
     std::shared_ptr<const serving::serving_configuration> configuration,
     const serving::serving_route& route)
 {
-    result<std::string> body = co_await exchange.read_body(
-        static_cast<std::size_t>(configuration->limits.body_bytes));
+    result<std::string> body =
+        co_await this->read_caller_body(exchange, *configuration);
     if (!body)
     {
-        if (body.error().kind == error_kind::invalid_input)
-        {
-            co_await exchange.respond(
-                net::make_text_response(status_too_large, body.error().text));
-        }
         co_return;
     }
     co_await this->job_calls.submit(exchange, route, std::move(body.value()));
@@ -435,15 +430,13 @@
     const serving::serving_route& route,
     time_point arrived)
 {
-    result<std::string> body = co_await exchange.read_body(
-        static_cast<std::size_t>(configuration->limits.body_bytes));
+    result<std::string> body =
+        co_await this->read_caller_body(exchange, *configuration);
     if (!body)
     {
         if (body.error().kind == error_kind::invalid_input)
         {
             this->numbers.count_refusal(reason::body_too_large);
-            co_await exchange.respond(
-                net::make_text_response(status_too_large, body.error().text));
         }
         co_return;
     }
@@ -459,72 +452,6 @@
     co_await call->run();
 }
 
-void node_process::send_slot_packet(
-    const std::string& node, const wire::slot_packet& packet)
-{
-    if (node == this->settings.vm_id)
-    {
-        // Not at once: the sender may be in the middle of a decision.
-        asio::post(
-            this->context,
-            [this, packet]
-            {
-                this->take_slot_packet(this->settings.vm_id, packet);
-            });
-        return;
-    }
-    const std::optional<membership::vm> receiver = this->members.find(node);
-    boost::system::error_code code;
-    if (!receiver)
-    {
-        return;
-    }
-    const asio::ip::address address =
-        asio::ip::make_address(receiver->address, code);
-    if (code)
-    {
-        return;
-    }
-    // A datagram that cannot be sent counts as lost on the way.
-    this->slot_socket.send_to(
-        asio::buffer(
-            this->settings.vm_id + '\n' + wire::encode_slot_packet(packet)),
-        udp::endpoint(address, receiver->link_port),
-        0,
-        code);
-}
-
-asio::awaitable<void> node_process::receive_slots()
-{
-    std::string buffer(largest_datagram, '\0');
-    udp::endpoint sender;
-    while (true)
-    {
-        const auto [code, size] = co_await this->slot_socket.async_receive_from(
-            asio::buffer(buffer), sender, as_result);
-        if (code)
-        {
-            // The system reports here that an earlier receiver was gone.
-            continue;
-        }
-        const std::string_view bytes(buffer.data(), size);
-        const std::size_t name_end = bytes.find('\n');
-        if (name_end == std::string_view::npos)
-        {
-            continue;
-        }
-        const result<wire::slot_packet> packet =
-            wire::decode_slot_packet(bytes.substr(name_end + 1));
-        if (!packet)
-        {
-            this->numbers.add("slot_packets_rejected_total");
-            continue;
-        }
-        this->take_slot_packet(
-            std::string(bytes.substr(0, name_end)), packet.value());
-    }
-}
-
 void node_process::take_slot_packet(
     const std::string& sender, const wire::slot_packet& packet)
 {
--- a/servers/node/node_process.hpp
+++ b/servers/node/node_process.hpp
@@ -13,10 +13,10 @@
 #include "servers/node/peer_exchange.hpp"
 #include "servers/node/runner_caller.hpp"
 #include "servers/node/slot_client.hpp"
+#include "servers/node/slot_exchange.hpp"
 #include "servers/node/slot_service.hpp"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -38,6 +38,11 @@
 
 private:
     boost::asio::awaitable<void> serve_caller(net::http_exchange& exchange);
+    /// Reads the body of a caller's request. One that is too long is refused
+    /// to the caller; error: invalid_input.
+    boost::asio::awaitable<result<std::string>> read_caller_body(
+        net::http_exchange& exchange,
+        const serving::serving_configuration& configuration);
     boost::asio::awaitable<void> serve_online(
         net::http_exchange& exchange,
         std::shared_ptr<const serving::serving_configuration> configuration,
@@ -51,9 +56,6 @@
     boost::asio::awaitable<void>
     serve_entry_addresses(net::http_exchange& exchange);
     boost::asio::awaitable<void> serve_metrics(net::http_exchange& exchange);
-    boost::asio::awaitable<void> receive_slots();
-    void
-    send_slot_packet(const std::string& node, const wire::slot_packet& packet);
     void take_slot_packet(
         const std::string& sender, const wire::slot_packet& packet);
     void on_adopted(const serving::serving_configuration& configuration);
@@ -72,7 +74,7 @@
     fleet_knowledge knowledge;
     node_members members;
     peer_exchange peers;
-    boost::asio::ip::udp::socket slot_socket;
+    slot_exchange packets;
     slot_service coordinator;
     slot_client slots;
     runner_caller runners;
--- /dev/null
+++ b/servers/node/slot_exchange.cpp
@@ -0,0 +1,124 @@
+#include "servers/node/slot_exchange.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace chicory::node
+{
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+namespace
+{
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t largest_datagram = 65536;
+
+} // namespace
+
+slot_exchange::slot_exchange(
+    asio::io_context& io,
+    const node_settings& source,
+    const node_members& fleet,
+    metrics& counters,
+    packet_hook on_packet)
+    : context(io), settings(source), members(fleet), numbers(counters),
+      take(std::move(on_packet)), socket(io)
+{
+}
+
+result<void> slot_exchange::start()
+{
+    boost::system::error_code code;
+    const udp::endpoint local(
+        asio::ip::make_address(this->settings.address, code),
+        this->settings.slot_port);
+    this->socket.open(local.protocol(), code);
+    if (!code)
+    {
+        this->socket.bind(local, code);
+    }
+    if (code)
+    {
+        return make_error(
+            error_kind::unavailable,
+            "UDP " + this->settings.address + ":" +
+                std::to_string(this->settings.slot_port) + ": " +
+                code.message());
+    }
+    this->socket.non_blocking(true);
+    asio::co_spawn(this->context, this->receive(), asio::detached);
+    return boost::outcome_v2::success();
+}
+
+void slot_exchange::send(
+    const std::string& node, const wire::slot_packet& packet)
+{
+    if (node == this->settings.vm_id)
+    {
+        // Not at once: the sender may be in the middle of a decision.
+        asio::post(
+            this->context,
+            [this, packet]
+            {
+                this->take(this->settings.vm_id, packet);
+            });
+        return;
+    }
+    const std::optional<membership::vm> receiver = this->members.find(node);
+    boost::system::error_code code;
+    if (!receiver)
+    {
+        return;
+    }
+    const asio::ip::address address =
+        asio::ip::make_address(receiver->address, code);
+    if (code)
+    {
+        return;
+    }
+    this->socket.send_to(
+        asio::buffer(
+            this->settings.vm_id + '\n' + wire::encode_slot_packet(packet)),
+        udp::endpoint(address, receiver->link_port),
+        0,
+        code);
+}
+
+asio::awaitable<void> slot_exchange::receive()
+{
+    std::string buffer(largest_datagram, '\0');
+    udp::endpoint sender;
+    while (true)
+    {
+        const auto [code, size] = co_await this->socket.async_receive_from(
+            asio::buffer(buffer), sender, as_result);
+        if (code)
+        {
+            // The system reports here that an earlier receiver was gone.
+            continue;
+        }
+        const std::string_view bytes(buffer.data(), size);
+        const std::size_t name_end = bytes.find('\n');
+        if (name_end == std::string_view::npos)
+        {
+            continue;
+        }
+        const result<wire::slot_packet> packet =
+            wire::decode_slot_packet(bytes.substr(name_end + 1));
+        if (!packet)
+        {
+            this->numbers.add("slot_packets_rejected_total");
+            continue;
+        }
+        this->take(std::string(bytes.substr(0, name_end)), packet.value());
+    }
+}
+
+} // namespace chicory::node
--- /dev/null
+++ b/servers/node/slot_exchange.hpp
@@ -0,0 +1,54 @@
+#ifndef CHICORY_SERVERS_NODE_SLOT_EXCHANGE_HPP
+#define CHICORY_SERVERS_NODE_SLOT_EXCHANGE_HPP
+
+#include "core/core.hpp"
+#include "servers/node/node_members.hpp"
+#include "servers/node/node_settings.hpp"
+#include "wire/wire.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <functional>
+#include <string>
+
+namespace chicory::node
+{
+
+/// Sends and receives the datagrams between nodes and the coordinators of
+/// slots. One that cannot be sent counts as lost on the way.
+class slot_exchange
+{
+public:
+    using packet_hook = std::function<void(
+        const std::string& sender, const wire::slot_packet& packet)>;
+
+    /// `on_packet` also hears what this node sends to itself.
+    slot_exchange(
+        boost::asio::io_context& io,
+        const node_settings& source,
+        const node_members& fleet,
+        metrics& counters,
+        packet_hook on_packet);
+
+    /// Error: unavailable when the port cannot be bound.
+    result<void> start();
+
+    /// Sends a packet to a node, this one included.
+    void send(const std::string& node, const wire::slot_packet& packet);
+
+private:
+    boost::asio::awaitable<void> receive();
+
+    boost::asio::io_context& context;
+    const node_settings& settings;
+    const node_members& members;
+    metrics& numbers;
+    packet_hook take;
+    boost::asio::ip::udp::socket socket;
+};
+
+} // namespace chicory::node
+
+#endif
