--- a/net/endpoint.hpp
+++ b/net/endpoint.hpp
@@ -2,7 +2,9 @@
 #define CHICORY_NET_ENDPOINT_HPP
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <tuple>
 
 namespace chicory::net
@@ -23,6 +25,10 @@
     }
 };
 
+/// Splits ADDRESS:PORT; nothing for a text without an address or a port from
+/// 1 on. The address is not judged.
+std::optional<endpoint> split_endpoint(std::string_view text);
+
 } // namespace chicory::net
 
 #endif
--- a/servers/control_client/client_settings.cpp
+++ b/servers/control_client/client_settings.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/ip/address.hpp>
 
-#include <charconv>
 
 namespace chicory::control
 {
@@ -43,29 +42,23 @@
     const error failure = make_error(
         error_kind::invalid_input,
         "expected IP:PORT, found \"" + std::string(text) + "\"");
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos)
+    std::optional<net::endpoint> server = net::split_endpoint(text);
+    if (!server)
     {
         return failure;
     }
-    std::string_view address = text.substr(0, colon);
+    std::string& address = server->address;
     if (address.starts_with('[') && address.ends_with(']'))
     {
         address = address.substr(1, address.size() - 2);
     }
     boost::system::error_code code;
-    boost::asio::ip::make_address(std::string(address), code);
-    const std::string_view digits = text.substr(colon + 1);
-    net::endpoint server;
-    const char* const end = digits.data() + digits.size();
-    const auto [last, status] =
-        std::from_chars(digits.data(), end, server.port);
-    if (code || status != std::errc() || last != end || server.port == 0)
+    boost::asio::ip::make_address(address, code);
+    if (code)
     {
         return failure;
     }
-    server.address = address;
-    return server;
+    return *server;
 }
 
 } // namespace chicory::control
--- a/servers/node/node_settings.cpp
+++ b/servers/node/node_settings.cpp
@@ -1,6 +1,5 @@
 #include "servers/node/node_settings.hpp"
 
-#include <charconv>
 #include <utility>
 
 namespace chicory::node
@@ -26,18 +25,9 @@
 net::endpoint read_endpoint(settings_reader& reader, std::string_view key)
 {
     const std::string text = reader.required_string(key);
-    net::endpoint found;
-    const std::size_t colon = text.rfind(':');
-    const char* const end = text.data() + text.size();
-    if (colon != std::string::npos && colon > 0)
+    if (const std::optional<net::endpoint> found = net::split_endpoint(text))
     {
-        const auto [rest, code] =
-            std::from_chars(text.data() + colon + 1, end, found.port);
-        found.address = text.substr(0, colon);
-        if (code == std::errc() && rest == end && found.port != 0)
-        {
-            return found;
-        }
+        return *found;
     }
     reader.reject(key, "ADDRESS:PORT", "\"" + text + "\"");
     return {};
