Node: Name a closed connection once, and do no work twice

A released slot is told by one function. An item's events were parsed twice. Coordinators are ordered from the order of nodes, and a node that must wait to take over a job orders none.

--- a/policy/serving/coordinator_choice.cpp
+++ b/policy/serving/coordinator_choice.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <bit>
 #include <cstdint>
-#include <tuple>
 #include <utility>
 
 namespace chicory::serving
@@ -32,22 +31,22 @@
 std::vector<std::string> order_coordinators(
     const std::string& service, const std::vector<live_node>& nodes)
 {
-    std::vector<std::tuple<int, std::uint64_t, std::string>> ranked;
-    ranked.reserve(nodes.size());
-    const std::uint64_t seed = hash_bytes(service);
+    std::vector<std::string> names;
+    std::map<std::string, int> sizes;
     for (const live_node& node : nodes)
     {
+        names.push_back(node.id);
         // Sizes within a power of two count as equal.
-        ranked.emplace_back(
-            std::bit_width(node.memory_mb), hash_bytes(node.id, seed), node.id);
-    }
-    std::sort(ranked.rbegin(), ranked.rend());
-    std::vector<std::string> order;
-    order.reserve(ranked.size());
-    for (auto& [size, rank, node] : ranked)
-    {
-        order.push_back(std::move(node));
+        sizes[node.id] = std::bit_width(node.memory_mb);
     }
+    std::vector<std::string> order = order_nodes(service, names);
+    std::stable_sort(
+        order.begin(),
+        order.end(),
+        [&sizes](const std::string& left, const std::string& right)
+        {
+            return sizes.at(left) > sizes.at(right);
+        });
     return order;
 }
 
--- a/policy/serving/event_splitter.cpp
+++ b/policy/serving/event_splitter.cpp
@@ -67,7 +67,7 @@
     return events;
 }
 
-std::string event_splitter::take(std::string_view bytes)
+std::string event_splitter::cut(std::string_view bytes)
 {
     const std::size_t search_from =
         this->kept.empty() ? 0 : this->kept.size() - 1;
@@ -79,6 +79,12 @@
     }
     std::string whole = this->kept.substr(0, end + event_end.size());
     this->kept.erase(0, whole.size());
+    return whole;
+}
+
+std::string event_splitter::take(std::string_view bytes)
+{
+    std::string whole = this->cut(bytes);
     for (const stream_event& event : read_events(whole))
     {
         if (!event.id.empty())
--- a/policy/serving/event_splitter.hpp
+++ b/policy/serving/event_splitter.hpp
@@ -25,9 +25,13 @@
 public:
     /// Takes bytes as they arrive and returns the part that ends with a whole
     /// event; the rest is kept for later.
+    std::string cut(std::string_view bytes);
+
+    /// Like `cut`, and notes the ids of the whole events.
     std::string take(std::string_view bytes);
 
-    /// Id of the last whole event; empty before the first with an id.
+    /// Id of the last whole event that `take` saw; empty before the first with
+    /// an id.
     const std::string& last_id() const;
 
     /// Bytes of an event that is not whole yet.
--- a/policy/serving/item_progress.cpp
+++ b/policy/serving/item_progress.cpp
@@ -42,7 +42,7 @@
 
 bool item_progress::take(std::string_view bytes)
 {
-    for (const stream_event& event : read_events(this->splitter.take(bytes)))
+    for (const stream_event& event : read_events(this->splitter.cut(bytes)))
     {
         if (!follows(this->last_id, event.id))
         {
--- a/policy/serving/job_ownership.cpp
+++ b/policy/serving/job_ownership.cpp
@@ -47,6 +47,10 @@
     }
     const time_point missed =
         this->missed_since.try_emplace(job.id, now).first->second;
+    if (now - missed < takeover_delay)
+    {
+        return false;
+    }
     std::vector<std::string> names;
     names.reserve(live.size());
     for (const live_node& node : live)
@@ -54,8 +58,7 @@
         names.push_back(node.id);
     }
     const std::vector<std::string> order = order_nodes(job.id, names);
-    return now - missed >= takeover_delay && !order.empty() &&
-           order.front() == this->self.id;
+    return !order.empty() && order.front() == this->self.id;
 }
 
 void job_ownership::forget(const std::string& job)
--- a/servers/node/item_run.cpp
+++ b/servers/node/item_run.cpp
@@ -264,7 +264,7 @@
         if (!piece)
         {
             failure = piece.error().text;
-            closed = piece.error().kind == error_kind::unavailable;
+            closed = is_closed(piece.error());
         }
         else if (!this->text.take(piece.value()))
         {
--- a/servers/node/runner_caller.cpp
+++ b/servers/node/runner_caller.cpp
@@ -51,9 +51,8 @@
         outcome.contact =
             sent ? runner_contact::unknown : runner_contact::not_sent;
         outcome.failure = opened.failure.text;
-        outcome.closed = sent &&
-                         opened.failure.kind == error_kind::unavailable &&
-                         !cancellation.is_cancelled();
+        outcome.closed =
+            sent && is_closed(opened.failure) && !cancellation.is_cancelled();
         if (!sent && !cancellation.is_cancelled())
         {
             directory.on_unreachable(read_monotonic_clock(), runner);
@@ -81,11 +80,15 @@
     co_return outcome;
 }
 
+bool is_closed(const error& failure)
+{
+    return failure.kind == error_kind::unavailable;
+}
+
 serving::slot_outcome to_slot_outcome(const error& stream_failure)
 {
-    return stream_failure.kind == error_kind::unavailable
-               ? serving::slot_outcome::crashed
-               : serving::slot_outcome::broken;
+    return is_closed(stream_failure) ? serving::slot_outcome::crashed
+                                     : serving::slot_outcome::broken;
 }
 
 serving::slot_outcome to_slot_outcome(const runner_outcome& outcome)
--- a/servers/node/runner_caller.hpp
+++ b/servers/node/runner_caller.hpp
@@ -59,6 +59,9 @@
     fleet_knowledge& knowledge;
 };
 
+/// Returns whether a failure is that the runner closed the connection.
+bool is_closed(const error& failure);
+
 /// Returns the outcome by which a slot is given back.
 serving::slot_outcome to_slot_outcome(const error& stream_failure);
 serving::slot_outcome to_slot_outcome(const runner_outcome& outcome);
--- a/servers/node/slot_client.cpp
+++ b/servers/node/slot_client.cpp
@@ -258,12 +258,15 @@
             known.pop_front();
         }
     }
+    this->send_release({service, id, outcome, request_digest});
+}
+
+void slot_client::send_release(const wire::slot_release& packet)
+{
     if (const std::optional<std::string> coordinator =
-            this->find_coordinator(read_monotonic_clock(), service))
+            this->find_coordinator(read_monotonic_clock(), packet.service))
     {
-        this->io_hooks.send(
-            *coordinator,
-            wire::slot_release{service, id, outcome, request_digest});
+        this->io_hooks.send(*coordinator, packet);
     }
 }
 
@@ -314,14 +317,8 @@
     {
         if (granted && found == this->wishes.end() && slot == this->used.end())
         {
-            if (const std::optional<std::string> coordinator =
-                    this->find_coordinator(read_monotonic_clock(), service))
-            {
-                this->io_hooks.send(
-                    *coordinator,
-                    wire::slot_release{
-                        service, verdict.id, serving::slot_outcome::unused});
-            }
+            this->send_release(
+                {service, verdict.id, serving::slot_outcome::unused});
         }
         return;
     }
--- a/servers/node/slot_client.hpp
+++ b/servers/node/slot_client.hpp
@@ -153,6 +153,7 @@
     void ask(time_point now, pending_wish& pending);
     void settle(pending_wish& pending, slot_answer answer);
     void choose_directly(time_point now, pending_wish& pending);
+    void send_release(const wire::slot_release& packet);
     void report(time_point now, const std::string& service);
     void take(const std::string& service, const serving::slot_verdict& verdict);
 
