--- a/tests/measure/node_log_cost_main.cpp
+++ b/tests/measure/node_log_cost_main.cpp
@@ -1,4 +1,5 @@
 #include "net/net.hpp"
+#include "tests/process/http_call.hpp"
 #include "tests/standins/engine_standin.hpp"
 #include "tests/standins/store_standin.hpp"
 
@@ -6,7 +7,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 
 #include <fcntl.h>
 #include <signal.h>
@@ -96,17 +96,10 @@
     }
 
 private:
-    std::uint16_t find_free_port()
-    {
-        asio::ip::tcp::acceptor acceptor(
-            this->io, {asio::ip::make_address("127.0.0.1"), 0});
-        return acceptor.local_endpoint().port();
-    }
-
     std::string write_settings(std::uint16_t store_port)
     {
-        this->requests = {"127.0.0.1", this->find_free_port()};
-        this->readiness = {"127.0.0.1", this->find_free_port()};
+        this->requests = {"127.0.0.1", chicory::process::find_free_port()};
+        this->readiness = {"127.0.0.1", chicory::process::find_free_port()};
         std::string path = "/tmp/chicory-node-log-cost-XXXXXX";
         const int file = mkstemp(path.data());
         if (file >= 0)
@@ -118,8 +111,10 @@
              << "address = \"127.0.0.1\"\nseeds = []\n[listen]\nrequests = \""
              << "127.0.0.1:" << this->requests.port
              << "\"\nreadiness = \"127.0.0.1:" << this->readiness.port
-             << "\"\nentry_addresses = \"127.0.0.1:" << this->find_free_port()
-             << "\"\nfirst_internal_port = " << this->find_free_port()
+             << "\"\nentry_addresses = \"127.0.0.1:"
+             << chicory::process::find_free_port()
+             << "\"\nfirst_internal_port = "
+             << chicory::process::find_free_port()
              << "\n[store]\naddress = \"127.0.0.1:" << store_port
              << "\"\n[log]\nlevel = \""
              << (this->use == log_use::off ? "error" : "info") << "\"\n";
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -1,11 +1,11 @@
 #include "servers/node/node.hpp"
+#include "tests/process/http_call.hpp"
 #include "tests/standins/engine_standin.hpp"
 #include "tests/standins/store_standin.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <gtest/gtest.h>
@@ -45,13 +45,6 @@
     return R"({"version":)" + std::to_string(version) + "," + routes;
 }
 
-std::uint16_t find_free_port(asio::io_context& io)
-{
-    asio::ip::tcp::acceptor acceptor(
-        io, {asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
-}
-
 class node_process_test : public ::testing::Test
 {
 protected:
@@ -68,11 +61,11 @@
               &this->settings.readiness,
               &this->settings.entry_addresses})
         {
-            *listened = {"127.0.0.1", find_free_port(this->io)};
+            *listened = {"127.0.0.1", process::find_free_port()};
         }
-        this->settings.gossip_port = find_free_port(this->io);
-        this->settings.slot_port = find_free_port(this->io);
-        this->settings.peer_port = find_free_port(this->io);
+        this->settings.gossip_port = process::find_free_port();
+        this->settings.slot_port = process::find_free_port();
+        this->settings.peer_port = process::find_free_port();
         this->settings.store = {"127.0.0.1", this->store.listen()};
         this->first.listen();
         this->second.listen();
@@ -200,6 +193,25 @@
             });
     }
 
+    void wait_for_arrivals(std::size_t count)
+    {
+        this->wait_until(
+            [this, count]
+            {
+                return this->first.arrivals.size() == count;
+            });
+    }
+
+    void expect_in_results(
+        const std::string& id, const char* field, const char* expected)
+    {
+        const boost::json::object found = this->results(id);
+        for (const boost::json::value& entry : found.at("results").as_array())
+        {
+            EXPECT_EQ(entry.at(field).as_string(), expected);
+        }
+    }
+
     asio::io_context io{1};
     standins::store_standin store;
     standins::engine_standin first;
@@ -413,12 +425,7 @@
     this->wait_for_results("j1", 2);
     EXPECT_EQ(this->first.arrivals.size(), 3U);
     EXPECT_EQ(this->first.arrivals.back().after, 2);
-    const boost::json::object found = this->results("j1");
-    for (const boost::json::value& entry : found.at("results").as_array())
-    {
-        EXPECT_EQ(
-            entry.at("text").as_string(), "text 1\ntext 2\ntext 3\ntext 4");
-    }
+    this->expect_in_results("j1", "text", "text 1\ntext 2\ntext 3\ntext 4");
 }
 
 TEST_F(node_process_test, an_item_fails_only_after_its_last_attempt)
@@ -428,11 +435,7 @@
     ASSERT_EQ(this->submit("j1"), 202);
     this->wait_for_results("j1", 2);
     EXPECT_EQ(this->first.arrivals.size(), 6U);
-    const boost::json::object found = this->results("j1");
-    for (const boost::json::value& entry : found.at("results").as_array())
-    {
-        EXPECT_EQ(entry.at("state").as_string(), "errored");
-    }
+    this->expect_in_results("j1", "state", "errored");
 }
 
 TEST_F(node_process_test, an_impossible_item_is_tried_once)
@@ -461,11 +464,7 @@
     this->start_serving();
     this->first.events = 100000;
     ASSERT_EQ(this->submit("j1"), 202);
-    this->wait_until(
-        [this]
-        {
-            return this->first.arrivals.size() == 2;
-        });
+    this->wait_for_arrivals(2);
     net::http_request request;
     request.method = "DELETE";
     request.target = "/-/lots/j1";
@@ -525,21 +524,17 @@
     this->start_serving();
     this->first.events = 100000;
     ASSERT_EQ(this->submit("j1"), 202);
-    this->wait_until(
-        [this]
-        {
-            return this->first.arrivals.size() == 2;
-        });
+    this->wait_for_arrivals(2);
     // A second node under the same name stands for the next process: the
     // first one is not told, as after a loss of power.
     const std::size_t before = this->first.arrivals.size();
     node_settings again = this->settings;
-    again.requests.port = find_free_port(this->io);
-    again.readiness.port = find_free_port(this->io);
-    again.entry_addresses.port = find_free_port(this->io);
-    again.gossip_port = find_free_port(this->io);
-    again.slot_port = find_free_port(this->io);
-    again.peer_port = find_free_port(this->io);
+    again.requests.port = process::find_free_port();
+    again.readiness.port = process::find_free_port();
+    again.entry_addresses.port = process::find_free_port();
+    again.gossip_port = process::find_free_port();
+    again.slot_port = process::find_free_port();
+    again.peer_port = process::find_free_port();
     node_process next(this->io, again);
     ASSERT_TRUE(next.start());
     this->first.events = 4;
