--- a/servers/control_client/client_settings.cpp
+++ b/servers/control_client/client_settings.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/ip/address.hpp>
 
-
 namespace chicory::control
 {
 
