Runners: Send nothing more to one that says in an answer that it is leaving

A runner that leaves says so in each of its answers, before or without any word in its entry of the store; a node went by the entry alone. Test: a_runner_that_says_it_leaves_gets_nothing_more failed with the word not read (the runner got a second request) and passes; four tests of the decision.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -391,6 +391,14 @@
             co_return outcome;
         }
     }
+    if (limits.may_send && !limits.may_send())
+    {
+        ending.set_close({});
+        owner->keep(server, std::move(link));
+        outcome.failure = make_error(
+            error_kind::cancelled, describe(server) + ": not to be sent");
+        co_return outcome;
+    }
     link->stream.expires_at(started + limits.head);
     const http::request<http::string_body> message =
         make_request(server, std::move(request));
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -68,6 +68,9 @@
     duration connect = std::chrono::seconds(2);
     /// Time from the start of the call to the head of the response.
     duration head = std::chrono::seconds(2);
+    /// Asked when the connection stands, just before the request is written;
+    /// false ends the call as not sent. Empty to send always.
+    std::function<bool()> may_send;
     /// Header that the server repeats from the request; a response that
     /// carries another value there answers an earlier request and is
     /// skipped. Empty for a server that repeats none.
--- a/policy/serving/runner_directory.cpp
+++ b/policy/serving/runner_directory.cpp
@@ -140,6 +140,40 @@
     }
 }
 
+bool runner_directory::on_leaving(const std::string& id, std::int64_t born_ms)
+{
+    std::int64_t& known = this->left.try_emplace(id, born_ms - 1).first->second;
+    if (known >= born_ms)
+    {
+        return false;
+    }
+    known = born_ms;
+    ++this->changes;
+    return true;
+}
+
+bool runner_directory::has_said_leaving(const runner_entry& entry) const
+{
+    const auto found = this->left.find(entry.id);
+    return found != this->left.end() && entry.born_ms <= found->second;
+}
+
+std::vector<leaving_runner>
+runner_directory::leaving(const std::string& service) const
+{
+    std::vector<leaving_runner> found;
+    for (const auto& [id, born_ms] : this->left)
+    {
+        const runner_entry* entry = this->find(id);
+        if (entry != nullptr && entry->service == service &&
+            entry->state == runner_state::ready && entry->born_ms <= born_ms)
+        {
+            found.push_back({id, born_ms});
+        }
+    }
+    return found;
+}
+
 void runner_directory::on_unreachable(time_point now, const std::string& id)
 {
     const auto found = this->runners.find(id);
@@ -188,7 +222,15 @@
     }
     const known_runner& known = found->second;
     return known.entry.state == runner_state::ready && !known.gone &&
-           now >= known.avoided_until;
+           !this->has_said_leaving(known.entry) && now >= known.avoided_until;
+}
+
+bool runner_directory::may_send(const std::string& id) const
+{
+    const auto found = this->runners.find(id);
+    return found != this->runners.end() &&
+           found->second.entry.state == runner_state::ready &&
+           !found->second.gone && !this->has_said_leaving(found->second.entry);
 }
 
 const runner_entry* runner_directory::find(const std::string& id) const
--- a/policy/serving/runner_directory.hpp
+++ b/policy/serving/runner_directory.hpp
@@ -38,6 +38,15 @@
     bool operator==(const runner_entry&) const = default;
 };
 
+/// One start of a runner that said that it is leaving.
+struct leaving_runner
+{
+    std::string id;
+    std::int64_t born_ms = 0;
+
+    bool operator==(const leaving_runner&) const = default;
+};
+
 /// Times by which the directory judges.
 struct runner_directory_settings
 {
@@ -52,7 +61,8 @@
 /// Knows which runners may get new work. An entry that is draining or removed
 /// gets none at once. Answers load patterns in which the store is away while
 /// runners serve on: entries that lapse then are kept until their owners had
-/// time to return.
+/// time to return; and releases in which runners leave before their entries
+/// say so: the runner's own word holds from its first answer that gives it.
 class runner_directory
 {
 public:
@@ -75,10 +85,19 @@
     void on_store_lost();
     void on_store_back(time_point now);
 
-    /// Takes that a runner refused because it is not the one named, or said
-    /// that it is leaving. It gets no new work until its entry changes.
+    /// Takes that a runner refused because it is not the one named. It gets
+    /// no new work until its entry changes.
     void on_gone(const std::string& id);
 
+    /// Takes that a runner said in an answer that it is leaving. This start
+    /// of it, known by its time of birth, gets no new work again, whatever its
+    /// entry says; a later start does. Returns whether that is news.
+    bool on_leaving(const std::string& id, std::int64_t born_ms);
+
+    /// Returns the runners of a service that said so while their entries
+    /// still call them ready: what other nodes may not know.
+    std::vector<leaving_runner> leaving(const std::string& service) const;
+
     /// Takes that a runner could not be reached, or answered.
     void on_unreachable(time_point now, const std::string& id);
     void on_reached(const std::string& id);
@@ -89,6 +108,10 @@
     /// Returns whether a runner may get new work.
     bool is_usable(time_point now, const std::string& id) const;
 
+    /// Returns whether work that was placed at a runner may still be sent:
+    /// one that is merely avoided for a time may get it.
+    bool may_send(const std::string& id) const;
+
     /// Returns the runner's entry, or null.
     const runner_entry* find(const std::string& id) const;
 
@@ -112,10 +135,14 @@
     };
 
     bool may_have_lapsed(time_point now) const;
+    bool has_said_leaving(const runner_entry& entry) const;
     void remove(time_point now, const std::string& id);
 
     runner_directory_settings settings;
     std::map<std::string, known_runner> runners;
+    /// Times of birth of the runners that said that they are leaving; kept
+    /// beyond the entry, which may lapse and return.
+    std::map<std::string, std::int64_t> left;
     /// Versions of removals, so that an older entry does not come back.
     std::map<std::string, std::int64_t> removed;
     bool store_away = false;
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -107,7 +107,13 @@
            {
                return this->members.live_nodes();
            }}),
-      runners(io.get_executor(), this->knowledge),
+      runners(
+          io.get_executor(),
+          this->knowledge,
+          [this](const std::string& service)
+          {
+              this->slots.report_now(service);
+          }),
       jobs(
           io,
           this->store,
--- a/servers/node/runner_caller.cpp
+++ b/servers/node/runner_caller.cpp
@@ -18,11 +18,24 @@
 } // namespace
 
 runner_caller::runner_caller(
-    asio::any_io_executor executor, fleet_knowledge& known)
-    : http(std::move(executor)), knowledge(known)
+    asio::any_io_executor executor, fleet_knowledge& known, leaving_hook hook)
+    : http(std::move(executor)), knowledge(known), on_leaving(std::move(hook))
 {
 }
 
+void runner_caller::note_leaving(
+    const serving::runner_entry& asked, const net::http_response& head)
+{
+    if (platform::says_leaving(head) &&
+        this->knowledge.runners().on_leaving(asked.id, asked.born_ms))
+    {
+        log_event(
+            event::runner_leaving_noticed,
+            {{"runner", asked.id}, {"service", asked.service}});
+        this->on_leaving(asked.service);
+    }
+}
+
 asio::awaitable<runner_outcome> runner_caller::send(
     const std::string& runner,
     net::http_request request,
@@ -38,13 +51,27 @@
         outcome.failure = "runner " + runner + " is not registered";
         co_return outcome;
     }
-    const net::endpoint target{entry->address, entry->port};
+    // A later start of the runner may register while this call is under way.
+    const serving::runner_entry asked = *entry;
+    const net::endpoint target{asked.address, asked.port};
     net::open_limits limits;
     limits.connect = connect_limit;
     limits.head = head_limit;
     limits.echoed_header = platform::attempt_header;
+    bool is_leaving = false;
+    limits.may_send = [&directory, &runner, &is_leaving]
+    {
+        is_leaving = !directory.may_send(runner);
+        return !is_leaving;
+    };
     net::open_outcome opened = co_await this->http.open(
         target, std::move(request), std::move(limits), &cancellation);
+    if (is_leaving)
+    {
+        outcome.contact = runner_contact::leaving;
+        outcome.failure = "runner " + runner + " is leaving";
+        co_return outcome;
+    }
     if (opened.stream == nullptr)
     {
         const bool sent = opened.sent == net::send_state::maybe_sent;
@@ -60,6 +87,7 @@
         co_return outcome;
     }
     directory.on_reached(runner);
+    this->note_leaving(asked, opened.stream->head());
     switch (platform::read_runner_reply(opened.stream->head()))
     {
     case platform::runner_reply::answered:
@@ -101,6 +129,7 @@
         return serving::slot_outcome::unreachable;
     case runner_contact::not_run:
     case runner_contact::wrong_runner:
+    case runner_contact::leaving:
         return serving::slot_outcome::refused;
     case runner_contact::unknown:
         break;
--- a/servers/node/runner_caller.hpp
+++ b/servers/node/runner_caller.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -25,6 +26,8 @@
     not_run,
     /// The runner is not the one meant, or is gone: not run.
     wrong_runner,
+    /// Not sent: the runner is leaving.
+    leaving,
     /// Sent, and no answer came: it may have run.
     unknown,
 };
@@ -43,8 +46,14 @@
 class runner_caller
 {
 public:
+    /// Called with a runner's service when the runner says for the first time
+    /// that it is leaving.
+    using leaving_hook = std::function<void(const std::string& service)>;
+
     runner_caller(
-        boost::asio::any_io_executor executor, fleet_knowledge& known);
+        boost::asio::any_io_executor executor,
+        fleet_knowledge& known,
+        leaving_hook hook);
 
     /// Sends a request to a runner that the directory knows. `head_limit`
     /// bounds the time until the answer begins.
@@ -55,8 +64,12 @@
         net::http_cancellation& cancellation);
 
 private:
+    void note_leaving(
+        const serving::runner_entry& asked, const net::http_response& head);
+
     net::http_client http;
     fleet_knowledge& knowledge;
+    leaving_hook on_leaving;
 };
 
 /// Returns whether a failure is that the runner closed the connection.
--- a/servers/node/slot_client.cpp
+++ b/servers/node/slot_client.cpp
@@ -371,6 +371,7 @@
     {
         all.crashed.assign(known->second.begin(), known->second.end());
     }
+    all.leaving = this->knowledge.runners().leaving(service);
     for (const auto& [number, slot] : this->used)
     {
         if (slot.service == service)
@@ -395,13 +396,18 @@
         }
     }
     this->contact.on_sent(now, *coordinator);
-    if (!all.held.empty() || !all.waiting.empty())
+    if (!all.held.empty() || !all.waiting.empty() || !all.leaving.empty())
     {
         this->reported.insert(service);
     }
     this->io_hooks.send(*coordinator, all);
 }
 
+void slot_client::report_now(const std::string& service)
+{
+    this->report(read_monotonic_clock(), service);
+}
+
 void slot_client::tick()
 {
     const time_point now = read_monotonic_clock();
--- a/servers/node/slot_client.hpp
+++ b/servers/node/slot_client.hpp
@@ -103,6 +103,10 @@
         serving::slot_outcome outcome,
         std::uint64_t request_digest = 0);
 
+    /// Tells the coordinator of a service at once what this node knows:
+    /// slots, requests and runners that are leaving.
+    void report_now(const std::string& service);
+
     /// Takes that the runner of this slot sent bytes.
     void note_progress(const serving::slot_id& id);
 
--- a/servers/node/slot_service.cpp
+++ b/servers/node/slot_service.cpp
@@ -162,6 +162,11 @@
     }
     else if (const auto* report = std::get_if<wire::slot_report>(&packet))
     {
+        for (const serving::leaving_runner& runner : report->leaving)
+        {
+            this->knowledge.runners().on_leaving(runner.id, runner.born_ms);
+        }
+        this->refresh_runners(now, false);
         serving::slot_scheduler& scheduler =
             this->scheduler_of(now, report->service);
         for (const serving::crashed_run& run : report->crashed)
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -155,6 +155,18 @@
         duration(1h));
 }
 
+TEST(call_headers_test, only_the_stated_word_says_that_a_runner_leaves)
+{
+    net::http_response head;
+    EXPECT_FALSE(says_leaving(head));
+    head.headers["connection"] = "close";
+    EXPECT_FALSE(says_leaving(head));
+    head.headers["server-leaving"] = "0";
+    EXPECT_FALSE(says_leaving(head));
+    head.headers["server-leaving"] = "1";
+    EXPECT_TRUE(says_leaving(head));
+}
+
 TEST(call_headers_test, only_a_stated_refusal_proves_that_nothing_ran)
 {
     net::http_response head;
--- a/tests/policy/serving/runner_directory_test.cpp
+++ b/tests/policy/serving/runner_directory_test.cpp
@@ -118,6 +118,62 @@
     EXPECT_TRUE(directory.is_usable(start, "r"));
 }
 
+// Load pattern: a release in which runners leave before, or without, any word
+// in their entries.
+TEST(runner_directory_test, a_runner_that_says_it_leaves_gets_no_new_work)
+{
+    runner_directory directory;
+    directory.on_entry(start, make_entry("r", 1));
+    EXPECT_TRUE(directory.on_leaving("r", 5));
+    EXPECT_FALSE(directory.on_leaving("r", 5));
+    EXPECT_FALSE(directory.is_usable(start, "r"));
+    EXPECT_FALSE(directory.may_send("r"));
+    EXPECT_TRUE(directory.usable(start, "chat").empty());
+    EXPECT_EQ(
+        directory.leaving("chat"),
+        std::vector<leaving_runner>({leaving_runner{"r", 5}}));
+}
+
+TEST(runner_directory_test, no_entry_of_the_same_start_takes_leaving_back)
+{
+    runner_directory directory;
+    directory.on_entry(start, make_entry("r", 1));
+    directory.on_leaving("r", 5);
+    directory.on_entry(start + 1s, make_entry("r", 2));
+    EXPECT_FALSE(directory.may_send("r"));
+    directory.on_snapshot(start + 2s, {make_entry("r", 3)}, 3);
+    EXPECT_FALSE(directory.may_send("r"));
+    // The entry lapses and returns.
+    directory.on_removed(start + 3s, "r", 4);
+    directory.on_entry(start + 4s, make_entry("r", 5));
+    EXPECT_FALSE(directory.may_send("r"));
+}
+
+TEST(runner_directory_test, a_later_start_of_a_leaving_runner_is_another_one)
+{
+    runner_directory directory;
+    directory.on_entry(start, make_entry("r", 1));
+    directory.on_leaving("r", 5);
+    runner_entry again = make_entry("r", 2);
+    again.born_ms = 6;
+    directory.on_entry(start + 1s, again);
+    EXPECT_TRUE(directory.may_send("r"));
+    // A late answer of the earlier start says nothing of this one.
+    EXPECT_FALSE(directory.on_leaving("r", 5));
+    EXPECT_TRUE(directory.may_send("r"));
+}
+
+TEST(runner_directory_test, a_runner_whose_entry_says_it_leaves_is_no_news)
+{
+    runner_directory directory;
+    directory.on_entry(start, make_entry("r", 1));
+    directory.on_leaving("r", 5);
+    runner_entry draining = make_entry("r", 2);
+    draining.state = runner_state::draining;
+    directory.on_entry(start, draining);
+    EXPECT_TRUE(directory.leaving("chat").empty());
+}
+
 } // namespace
 
 } // namespace chicory::serving
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -333,6 +333,38 @@
     EXPECT_EQ(this->first.arrivals.size(), before);
 }
 
+// Load pattern: a release under load in which the runner's own answer is the
+// first word of its leaving, and the store calls it ready to the end.
+TEST_F(node_process_test, a_runner_that_says_it_leaves_gets_nothing_more)
+{
+    this->start_serving();
+    this->first.says_leaving = true;
+    EXPECT_EQ(this->ask("/ask/1", "t1", "").status, 200);
+    ASSERT_EQ(this->first.arrivals.size(), 1U);
+    this->register_runner(this->second, "ready");
+    // The entry is written again and still calls the runner ready.
+    this->register_runner(this->first, "ready");
+    this->wait_until(
+        [this]
+        {
+            return this->ask("/ask/1", "t2", "").status == 200;
+        });
+    EXPECT_EQ(this->submit("j1"), 202);
+    this->wait_for_results("j1", 2);
+    EXPECT_EQ(this->first.arrivals.size(), 1U);
+    // A later start under the same name is another runner.
+    this->first.says_leaving = false;
+    this->first.born = 2;
+    this->register_runner(this->first, "ready");
+    this->store.remove("servers", "", "i-2");
+    this->wait_until(
+        [this]
+        {
+            return this->ask("/ask/1", "t3", "").status == 200 &&
+                   this->first.arrivals.size() > 1;
+        });
+}
+
 TEST_F(node_process_test, a_caller_that_leaves_ends_its_run)
 {
     this->start_serving();
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -52,8 +52,8 @@
 {
     return R"({"service":"chat","addr":"127.0.0.1:)" +
            std::to_string(this->server.port()) +
-           R"(","zone":"z1","slots":8,"state":")" + state +
-           R"(","born":1,"seq":1})";
+           R"(","zone":"z1","slots":8,"state":")" + state + R"(","born":)" +
+           std::to_string(this->born) + R"(,"seq":1})";
 }
 
 asio::awaitable<void> engine_standin::answer(net::http_exchange& exchange)
@@ -66,6 +66,10 @@
     const net::http_headers& headers = exchange.head().headers;
     net::http_response refusal;
     refusal.headers["x-attempt-id"] = header_of(headers, "x-attempt-id");
+    if (this->says_leaving)
+    {
+        refusal.headers["server-leaving"] = "1";
+    }
     if (header_of(headers, "x-expect-instance") != this->instance)
     {
         refusal.status = 421;
@@ -106,6 +110,10 @@
     head.headers["content-type"] = "text/event-stream";
     head.headers["x-attempt-id"] = this->arrivals[index].attempt;
     head.headers["x-response-stamp"] = "stamp-" + this->instance;
+    if (this->says_leaving)
+    {
+        head.headers["server-leaving"] = "1";
+    }
     co_await exchange.start_stream(std::move(head));
     asio::steady_timer timer(this->context);
     for (std::int64_t number = this->arrivals[index].after + 1;
--- a/tests/standins/engine_standin.hpp
+++ b/tests/standins/engine_standin.hpp
@@ -51,6 +51,10 @@
     int status = 0;
     /// True to state that a refused request was not run.
     bool states_not_run = false;
+    /// True to say in every answer that the runner is leaving.
+    bool says_leaving = false;
+    /// Time of birth that the entry and the runner tell.
+    std::int64_t born = 1;
 
 private:
     boost::asio::awaitable<void> answer(net::http_exchange& exchange);
--- a/tests/wire/slot_packet_fuzz_test.cpp
+++ b/tests/wire/slot_packet_fuzz_test.cpp
@@ -26,7 +26,13 @@
     held.runner = "i-3";
     held.silence = std::chrono::milliseconds(420);
     slot_report report{
-        "chat", "vm-1", 7, {held}, {request}, {{99, {"vm-1", 7, 40}}}};
+        "chat",
+        "vm-1",
+        7,
+        {held},
+        {request},
+        {{99, {"vm-1", 7, 40}}},
+        {{"i-4", 1'700'000'000'000}}};
     slot_release release{"chat", request.id, serving::slot_outcome::broken, 99};
     slot_verdicts verdicts{
         "chat",
--- a/wire/slot_packet.cpp
+++ b/wire/slot_packet.cpp
@@ -40,6 +40,12 @@
     archive(value.request_digest, value.id);
 }
 
+template <class Archive>
+void serialize(Archive& archive, leaving_runner& value)
+{
+    archive(value.id, value.born_ms);
+}
+
 template <class Archive>
 void serialize(Archive& archive, held_slot& value)
 {
@@ -75,7 +81,8 @@
         value.incarnation,
         value.held,
         value.waiting,
-        value.crashed);
+        value.crashed,
+        value.leaving);
 }
 
 template <class Archive>
--- a/wire/slot_packet.hpp
+++ b/wire/slot_packet.hpp
@@ -31,6 +31,8 @@
     std::vector<serving::slot_request> waiting;
     /// The latest runs of this node that crashed a runner.
     std::vector<serving::crashed_run> crashed;
+    /// Runners that told this node that they are leaving.
+    std::vector<serving::leaving_runner> leaving;
 };
 
 /// Answer to a report, and to a request together with its verdicts.
