Node: Survive what other operators were hit by on connections, stops and errors

Cause: looked for on the users' list of failures elsewhere. On a kept connection an answer without a name, or with that of an item that is sent again, was taken for the new answer; an answer that trickled held a call for ever, and an item whose runner trickled bytes without whole events did not end; a stop closed kept connections on which a request had come; an exception out of a handler left its caller without an answer and the stop waiting, out of a loop it ended the loop unseen, and out of a timer it ended the process. Change: names are asked for on kept connections, and a name that is sent again takes another one; whole answers have one bound; items count whole events; a stop leaves connections with bytes; loops and handlers are guarded and logged.

--- a/core/event.cpp
+++ b/core/event.cpp
@@ -34,6 +34,7 @@
         {work_cut_off, "work_cut_off", warning, "A second signal stopped the process at once; `cut_off` names what was in progress."},
         {settings_reloaded, "settings_reloaded", info, "The operating system said that the settings have changed."},
         {lines_left_out, "lines_left_out", info, "Lines of an event were left out because there were too many in a second."},
+        {unexpected_error, "unexpected_error", error, "An unexpected error ended one piece of work; the process goes on."},
 
         {request_refused, "request_refused", info, "An online request was refused."},
         {attempt_failed, "attempt_failed", info, "An attempt on a runner gave no whole answer."},
--- a/core/event.hpp
+++ b/core/event.hpp
@@ -21,6 +21,7 @@
     work_cut_off = 106,
     settings_reloaded = 107,
     lines_left_out = 108,
+    unexpected_error = 109,
 
     // 200: online requests, owners and runners.
     request_refused = 200,
--- a/main/node_main.cpp
+++ b/main/node_main.cpp
@@ -27,7 +27,7 @@
             chicory::event::start_failed, {{"error", started.error().text}});
         return chicory::exit_code::failure;
     }
-    context.run();
+    chicory::net::run_guarded(context);
     return chicory::exit_code::success;
 }
 
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -47,6 +47,8 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    /// Value of the echoed header in the request before; empty for none.
+    std::string last_echo;
     /// When the server may close the kept connection.
     std::chrono::steady_clock::time_point usable_until =
         std::chrono::steady_clock::time_point::max();
@@ -57,6 +59,12 @@
     return server.address + ":" + std::to_string(server.port);
 }
 
+std::string find_header(const http_headers& headers, const std::string& name)
+{
+    const auto found = headers.find(name);
+    return found == headers.end() ? std::string() : found->second;
+}
+
 http::request<http::string_body>
 make_request(const endpoint& server, http_request source)
 {
@@ -89,7 +97,11 @@
     asio::any_io_executor executor;
     std::map<endpoint, std::vector<std::unique_ptr<connection>>> idle;
 
-    std::unique_ptr<connection> take_idle(const endpoint& server)
+    /// Returns a kept connection, or null. A late second copy of the answer to
+    /// `echo` would be taken for the answer to the same request sent again, so
+    /// that no connection that carried it last is used.
+    std::unique_ptr<connection>
+    take_idle(const endpoint& server, const std::string& echo)
     {
         std::vector<std::unique_ptr<connection>>& kept = this->idle[server];
         while (!kept.empty())
@@ -97,6 +109,7 @@
             std::unique_ptr<connection> candidate = std::move(kept.back());
             kept.pop_back();
             if (candidate->buffer.size() == 0 &&
+                (echo.empty() || candidate->last_echo != echo) &&
                 std::chrono::steady_clock::now() < candidate->usable_until &&
                 !is_stale(candidate->stream.socket()))
             {
@@ -161,9 +174,10 @@
     }
 
     /// Reads the head of the response. Responses whose `echoed` header has
-    /// another value belong to earlier requests and are skipped.
-    asio::awaitable<beast::error_code>
-    read_head(const std::string& echoed, const std::string& expected)
+    /// another value belong to earlier requests and are skipped. One without
+    /// it may do so too, unless the connection is fresh.
+    asio::awaitable<beast::error_code> read_head(
+        const std::string& echoed, const std::string& expected, bool fresh)
     {
         for (int skipped = 0; skipped <= max_skipped_responses; ++skipped)
         {
@@ -180,11 +194,16 @@
             }
             this->copy_head();
             const auto found = this->response.headers.find(echoed);
-            if (echoed.empty() || found == this->response.headers.end() ||
-                found->second == expected)
+            const bool names_none = found == this->response.headers.end();
+            if (echoed.empty() || (names_none && fresh) ||
+                (!names_none && found->second == expected))
             {
                 co_return code;
             }
+            if (names_none)
+            {
+                co_return make_error_code(http::error::unexpected_body);
+            }
             const beast::error_code drained = co_await this->drain();
             if (drained)
             {
@@ -365,7 +384,11 @@
         cancellation == nullptr ? unused : *cancellation;
     const std::shared_ptr<state> owner = this->shared;
     open_outcome outcome;
-    std::unique_ptr<connection> link = owner->take_idle(server);
+    const std::string echo =
+        limits.echoed_header.empty()
+            ? std::string()
+            : find_header(request.headers, limits.echoed_header);
+    std::unique_ptr<connection> link = owner->take_idle(server, echo);
     const bool fresh = link == nullptr;
     if (fresh)
     {
@@ -402,10 +425,7 @@
     link->stream.expires_at(started + limits.head);
     const http::request<http::string_body> message =
         make_request(server, std::move(request));
-    const std::string expected =
-        limits.echoed_header.empty()
-            ? std::string()
-            : std::string(message[limits.echoed_header]);
+    link->last_echo = echo;
     outcome.sent = send_state::maybe_sent;
     auto [write_code, written] =
         co_await http::async_write(link->stream, message, as_result);
@@ -428,7 +448,7 @@
         std::make_unique<beast_http_stream>(
             server, std::move(link), std::move(keep));
     const beast::error_code head_code =
-        co_await stream->read_head(limits.echoed_header, expected);
+        co_await stream->read_head(limits.echoed_header, echo, fresh);
     ending.set_close({});
     if (head_code)
     {
@@ -442,6 +462,9 @@
 asio::awaitable<result<http_response>>
 http_client::request(endpoint server, http_request request, duration limit)
 {
+    // One bound for the whole answer: a server that sends a byte now and then
+    // would hold the caller for ever.
+    const auto until = std::chrono::steady_clock::now() + limit;
     open_outcome outcome =
         co_await this->open(server, std::move(request), limit);
     if (outcome.stream == nullptr)
@@ -456,7 +479,15 @@
     http_response response = outcome.stream->head();
     while (true)
     {
-        result<std::string> piece = co_await outcome.stream->read_some(limit);
+        const duration left = std::chrono::duration_cast<duration>(
+            until - std::chrono::steady_clock::now());
+        if (left <= duration::zero())
+        {
+            co_return make_error(
+                error_kind::outcome_unknown,
+                "the answer was not whole in time");
+        }
+        result<std::string> piece = co_await outcome.stream->read_some(left);
         if (!piece)
         {
             co_return make_error(
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -392,7 +392,16 @@
     {
         link.busy = true;
         ++this->busy;
-        co_await this->handler(exchange);
+        try
+        {
+            co_await this->handler(exchange);
+        }
+        catch (const std::exception& failure)
+        {
+            log_event(
+                event::unexpected_error,
+                {{"work", exchange.head().target}, {"error", failure.what()}});
+        }
         if (exchange.is_unanswered())
         {
             http_response failure;
@@ -484,7 +493,9 @@
     for (const std::shared_ptr<server_connection>& link :
          this->shared->connections)
     {
-        if (!link->busy)
+        // A request that has come is answered, read or not.
+        beast::error_code ignored;
+        if (!link->busy && link->stream.socket().available(ignored) == 0)
         {
             link->stream.close();
         }
--- a/net/net.hpp
+++ b/net/net.hpp
@@ -3,6 +3,7 @@
 #define CHICORY_NET_NET_HPP
 
 #include "net/endpoint.hpp"
+#include "net/guarded.hpp"
 #include "net/http_client.hpp"
 #include "net/http_message.hpp"
 #include "net/http_server.hpp"
--- a/servers/fleet/gossip_service.cpp
+++ b/servers/fleet/gossip_service.cpp
@@ -2,8 +2,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -86,8 +84,20 @@
                 code.message());
     }
     this->socket.non_blocking(true);
-    asio::co_spawn(this->context, this->receive(), asio::detached);
-    asio::co_spawn(this->context, this->tick(), asio::detached);
+    net::spawn_loop(
+        this->context.get_executor(),
+        "gossip messages",
+        [this]
+        {
+            return this->receive();
+        });
+    net::spawn_loop(
+        this->context.get_executor(),
+        "gossip ticks",
+        [this]
+        {
+            return this->tick();
+        });
     return boost::outcome_v2::success();
 }
 
--- a/servers/node/item_run.cpp
+++ b/servers/node/item_run.cpp
@@ -27,6 +27,9 @@
 /// item goes on at another runner.
 constexpr std::chrono::milliseconds head_limit(2500);
 constexpr std::chrono::milliseconds silence_limit(1500);
+/// Time without a whole event after which the item goes on elsewhere, though
+/// bytes come: slow runners make one each second or so.
+constexpr std::chrono::seconds event_limit(6);
 constexpr std::chrono::milliseconds retry_pause(50);
 constexpr std::chrono::milliseconds no_route_pause(200);
 /// Runners that an item avoids after they failed it, the latest ones.
@@ -257,10 +260,13 @@
     std::string failure;
     bool ended = false;
     bool closed = false;
+    time_point last_event = read_monotonic_clock();
     while (failure.empty() && !ended)
     {
+        const std::int64_t events_before = this->text.events();
         const result<std::string> piece =
             co_await this->stream->read_some(silence_limit);
+        const time_point now = read_monotonic_clock();
         if (!piece)
         {
             failure = piece.error().text;
@@ -271,6 +277,15 @@
             failure =
                 "an event does not follow event " + this->text.last_event_id();
         }
+        if (this->text.events() > events_before)
+        {
+            last_event = now;
+        }
+        else if (failure.empty() && now - last_event > duration(event_limit))
+        {
+            failure = "bytes without a whole event for " +
+                      std::to_string(event_limit.count()) + " s";
+        }
         if (piece)
         {
             this->services.slots.note_progress(slot.id);
--- a/servers/node/job_runner.cpp
+++ b/servers/node/job_runner.cpp
@@ -1,8 +1,8 @@
 #include "servers/node/job_runner.hpp"
 
+#include "net/net.hpp"
+
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -139,8 +139,10 @@
             this->ownership.should_take_over(now, *job, live))
         {
             this->busy.insert(job->id);
-            asio::co_spawn(
-                this->context, this->take_over(job->id), asio::detached);
+            net::spawn_guarded(
+                this->context.get_executor(),
+                "taking over a job",
+                this->take_over(job->id));
         }
     }
     for (auto entry = this->active.begin(); entry != this->active.end();)
@@ -170,7 +172,8 @@
         return;
     }
     this->busy.insert(job.id);
-    asio::co_spawn(this->context, this->load(job.id), asio::detached);
+    net::spawn_guarded(
+        this->context.get_executor(), "loading a job", this->load(job.id));
 }
 
 void job_runner::stop(active_job& job)
@@ -380,7 +383,10 @@
         route.name,
         due,
         due - route.completion_target + route.retention);
-    asio::co_spawn(this->context, this->run_item(job, item), asio::detached);
+    net::spawn_guarded(
+        this->context.get_executor(),
+        "running an item",
+        this->run_item(job, item));
 }
 
 asio::awaitable<void>
@@ -440,7 +446,10 @@
     if (!job->committing && !job->stopped)
     {
         job->committing = true;
-        asio::co_spawn(this->context, this->commit(job), asio::detached);
+        net::spawn_guarded(
+            this->context.get_executor(),
+            "committing results",
+            this->commit(job));
     }
 }
 
--- a/servers/node/node_members.cpp
+++ b/servers/node/node_members.cpp
@@ -1,8 +1,8 @@
 #include "servers/node/node_members.hpp"
 
+#include "net/net.hpp"
+
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
@@ -136,7 +136,13 @@
     {
         return bound;
     }
-    asio::co_spawn(this->context, this->keep_registered(), asio::detached);
+    net::spawn_loop(
+        this->context.get_executor(),
+        "registration",
+        [this]
+        {
+            return this->keep_registered();
+        });
     return boost::outcome_v2::success();
 }
 
--- a/servers/node/peer_exchange.cpp
+++ b/servers/node/peer_exchange.cpp
@@ -1,8 +1,8 @@
 #include "servers/node/peer_exchange.hpp"
 
+#include "net/net.hpp"
+
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
@@ -51,7 +51,13 @@
 
 void peer_exchange::start()
 {
-    asio::co_spawn(this->context, this->learn(), asio::detached);
+    net::spawn_loop(
+        this->context.get_executor(),
+        "learning from nodes",
+        [this]
+        {
+            return this->learn();
+        });
 }
 
 std::vector<net::endpoint> peer_exchange::choose_relays()
--- a/servers/node/slot_exchange.cpp
+++ b/servers/node/slot_exchange.cpp
@@ -1,8 +1,8 @@
 #include "servers/node/slot_exchange.hpp"
 
+#include "net/net.hpp"
+
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -53,7 +53,13 @@
                 code.message());
     }
     this->socket.non_blocking(true);
-    asio::co_spawn(this->context, this->receive(), asio::detached);
+    net::spawn_loop(
+        this->context.get_executor(),
+        "slot packets",
+        [this]
+        {
+            return this->receive();
+        });
     return boost::outcome_v2::success();
 }
 
--- a/servers/node/table_watch.cpp
+++ b/servers/node/table_watch.cpp
@@ -1,8 +1,8 @@
 #include "servers/node/table_watch.hpp"
 
+#include "net/net.hpp"
+
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -45,7 +45,13 @@
 
 void table_watch::start()
 {
-    asio::co_spawn(this->context, this->run(), asio::detached);
+    net::spawn_loop(
+        this->context.get_executor(),
+        "watch of table " + this->table,
+        [this]
+        {
+            return this->run();
+        });
 }
 
 bool table_watch::is_current() const
--- a/tests/net/http_failure_test.cpp
+++ b/tests/net/http_failure_test.cpp
@@ -3,11 +3,19 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
 namespace chicory::net
 {
 
@@ -217,4 +225,256 @@
     this->run(body);
 }
 
+// Operators saw a planned stop under load cut off requests that had just come.
+TEST_F(http_failure, a_request_that_crosses_a_stop_is_answered)
+{
+    this->serve(&answer_ok);
+    const auto body = [this]() -> asio::awaitable<void>
+    {
+        const int first = co_await this->ask("/");
+        EXPECT_EQ(first, 200);
+        // The second request is written on the kept connection; the server
+        // has not read it when it stops.
+        bool done = false;
+        int second = 0;
+        asio::co_spawn(
+            this->context,
+            [&]() -> asio::awaitable<void>
+            {
+                second = co_await this->ask("/");
+                done = true;
+            },
+            asio::detached);
+        while (!done)
+        {
+            this->context.poll_one();
+            this->server->close_after_answers();
+            asio::steady_timer pause(this->context);
+            pause.expires_after(std::chrono::milliseconds(1));
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+        EXPECT_EQ(second, 200);
+    };
+    this->run(body);
+}
+
+TEST_F(http_failure, a_handler_that_throws_leaves_an_error_and_no_trace)
+{
+    this->serve(
+        [](http_exchange&) -> asio::awaitable<void>
+        {
+            throw std::runtime_error("unexpected");
+            co_return;
+        });
+    const auto body = [this]() -> asio::awaitable<void>
+    {
+        const int status = co_await this->ask("/");
+        EXPECT_EQ(status, 500);
+        EXPECT_EQ(this->server->in_progress(), 0U);
+    };
+    this->run(body);
+}
+
+namespace
+{
+
+/// Answers on one connection after the other with what the test gives for
+/// each request, byte for byte.
+class scripted_server
+{
+public:
+    explicit scripted_server(asio::io_context& io)
+        : context(io),
+          acceptor(
+              io,
+              asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+        asio::co_spawn(this->context, this->accept(), asio::detached);
+    }
+
+    endpoint address() const
+    {
+        return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+    }
+
+    std::vector<std::string> answers;
+    /// Sends the last answer a byte at a time, for ever.
+    bool trickles = false;
+    std::size_t connections = 0;
+    std::size_t requests = 0;
+
+private:
+    asio::awaitable<void> accept()
+    {
+        while (true)
+        {
+            asio::ip::tcp::socket socket =
+                co_await this->acceptor.async_accept(asio::use_awaitable);
+            ++this->connections;
+            asio::co_spawn(
+                this->context, this->serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(asio::ip::tcp::socket socket)
+    {
+        std::string received;
+        while (true)
+        {
+            const std::size_t size = co_await asio::async_read_until(
+                socket,
+                asio::dynamic_buffer(received),
+                "\r\n\r\n",
+                asio::use_awaitable);
+            received.erase(0, size);
+            const std::string answer = this->answers.at(
+                std::min(this->requests++, this->answers.size() - 1));
+            co_await asio::async_write(
+                socket, asio::buffer(answer), asio::use_awaitable);
+            asio::steady_timer pause(this->context);
+            while (this->trickles)
+            {
+                pause.expires_after(std::chrono::milliseconds(5));
+                co_await pause.async_wait(asio::use_awaitable);
+                co_await asio::async_write(
+                    socket, asio::buffer("x", 1), asio::use_awaitable);
+            }
+        }
+    }
+
+    asio::io_context& context;
+    asio::ip::tcp::acceptor acceptor;
+};
+
+std::string make_answer(const std::string& attempt, const std::string& body)
+{
+    const std::string id =
+        attempt.empty() ? "" : "X-Attempt-Id: " + attempt + "\r\n";
+    return "HTTP/1.1 200 OK\r\n" + id +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Sends a request with this attempt and returns the body, or nothing.
+asio::awaitable<std::string>
+ask_as(http_client& client, endpoint target, std::string attempt)
+{
+    http_request request;
+    request.headers["x-attempt-id"] = std::move(attempt);
+    open_limits limits;
+    limits.head = patience;
+    limits.echoed_header = "x-attempt-id";
+    open_outcome outcome = co_await client.open(
+        std::move(target), std::move(request), std::move(limits), nullptr);
+    std::string body;
+    while (outcome.stream != nullptr)
+    {
+        const result<std::string> piece =
+            co_await outcome.stream->read_some(patience);
+        if (!piece)
+        {
+            co_return std::string();
+        }
+        if (piece.value().empty())
+        {
+            break;
+        }
+        body += piece.value();
+    }
+    co_return body;
+}
+
+} // namespace
+
+// Operators saw a late second copy of an answer on a connection that was in
+// use again.
+TEST_F(http_failure, a_late_second_copy_is_not_the_next_answer)
+{
+    scripted_server server(this->context);
+    server.answers = {
+        make_answer("a", "first"),
+        make_answer("a", "first") + make_answer("b", "second")};
+    const auto body = [&]() -> asio::awaitable<void>
+    {
+        const std::string first =
+            co_await ask_as(this->client, server.address(), "a");
+        EXPECT_EQ(first, "first");
+        const std::string second =
+            co_await ask_as(this->client, server.address(), "b");
+        EXPECT_EQ(second, "second");
+        EXPECT_EQ(server.connections, 1U);
+    };
+    this->run(body);
+}
+
+TEST_F(http_failure, a_copy_without_a_name_on_a_kept_connection_is_no_answer)
+{
+    scripted_server server(this->context);
+    server.answers = {make_answer("a", "first"), make_answer("", "first")};
+    const auto body = [&]() -> asio::awaitable<void>
+    {
+        const std::string first =
+            co_await ask_as(this->client, server.address(), "a");
+        EXPECT_EQ(first, "first");
+        const std::string second =
+            co_await ask_as(this->client, server.address(), "b");
+        EXPECT_EQ(second, "");
+    };
+    this->run(body);
+}
+
+// A batch item keeps its name from run to run.
+TEST_F(http_failure, a_name_that_is_sent_again_takes_another_connection)
+{
+    scripted_server server(this->context);
+    server.answers = {make_answer("a", "first"), make_answer("a", "again")};
+    const auto body = [&]() -> asio::awaitable<void>
+    {
+        const std::string first =
+            co_await ask_as(this->client, server.address(), "a");
+        EXPECT_EQ(first, "first");
+        const std::string again =
+            co_await ask_as(this->client, server.address(), "a");
+        EXPECT_EQ(again, "again");
+        EXPECT_EQ(server.connections, 2U);
+    };
+    this->run(body);
+}
+
+// Operators saw stalled answers that sent a byte now and then never end.
+TEST_F(http_failure, an_answer_that_trickles_ends_with_its_bound)
+{
+    scripted_server server(this->context);
+    server.answers = {"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n"};
+    server.trickles = true;
+    const auto body = [&]() -> asio::awaitable<void>
+    {
+        http_request request;
+        const result<http_response> answer = co_await this->client.request(
+            server.address(), request, std::chrono::milliseconds(100));
+        EXPECT_FALSE(answer);
+    };
+    this->run(body);
+}
+
+TEST_F(http_failure, a_request_that_must_not_be_sent_any_more_is_not)
+{
+    scripted_server server(this->context);
+    server.answers = {make_answer("", "")};
+    const auto body = [&]() -> asio::awaitable<void>
+    {
+        open_limits limits;
+        limits.may_send = []
+        {
+            return false;
+        };
+        http_request request;
+        const open_outcome outcome = co_await this->client.open(
+            server.address(), request, std::move(limits), nullptr);
+        EXPECT_EQ(outcome.stream, nullptr);
+        EXPECT_EQ(outcome.sent, send_state::not_sent);
+        EXPECT_EQ(server.requests, 0U);
+    };
+    this->run(body);
+}
+
 } // namespace chicory::net
