Store traffic: Read of other nodes only what changed, and gather changes of jobs

Cause: on 295 VMs each node read the whole table of nodes every five seconds (295 x 295 records), and asked for changes of jobs six times a second though nobody waited for them. Change: the nodes table is read once, then by what changed, at 1, 2, 4, 8 and 10 seconds; changes of jobs are gathered for 600 ms where nobody waits for them and 150 ms where somebody does. Test: reads_of_other_nodes_only_what_changed.

--- a/servers/node/job_ledger.cpp
+++ b/servers/node/job_ledger.cpp
@@ -27,9 +27,11 @@
 constexpr std::chrono::milliseconds retry_pause(60);
 constexpr std::chrono::milliseconds catch_up_pause(10);
 constexpr std::chrono::milliseconds catch_up_limit(600);
-/// Time between two calls for changes of jobs; readers of a job wait less
-/// than this longer for its results.
-constexpr std::chrono::milliseconds change_gather_time(150);
+/// Time between two calls for changes of jobs. Readers of a job wait less than
+/// the first longer for its results; where nobody waits, what another node has
+/// shown must be known here within a second.
+constexpr std::chrono::milliseconds awaited_gather_time(150);
+constexpr std::chrono::milliseconds idle_gather_time(600);
 /// Bytes of texts that a node keeps for reads.
 constexpr std::size_t most_kept_bytes = 32 << 20;
 
@@ -69,7 +71,7 @@
            },
            [](bool) {}},
           seed,
-          change_gather_time),
+          {awaited_gather_time, idle_gather_time}),
       texts(
           most_kept_bytes,
           [this](const std::string& id)
@@ -160,6 +162,7 @@
 job_ledger::catch_up(std::string partition, std::int64_t version)
 {
     asio::steady_timer timer(this->context);
+    const watch_wait waiting(this->watch);
     const time_point until = read_monotonic_clock() + duration(catch_up_limit);
     while (this->view.limit_version(partition) < version)
     {
@@ -573,6 +576,7 @@
     std::string id, std::size_t count, time_point until)
 {
     asio::steady_timer timer(this->context);
+    const watch_wait waiting(this->watch);
     this->waiters[id].insert(&timer);
     while (read_monotonic_clock() < until)
     {
--- a/servers/node/node_members.cpp
+++ b/servers/node/node_members.cpp
@@ -9,6 +9,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -23,9 +24,12 @@
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view node_table = "nodes";
-/// Time between two reads of the registered nodes: gossip spreads what is
-/// new, so that the reads only join groups that know nothing of each other.
-constexpr std::chrono::seconds read_interval(5);
+/// Time between two reads of what changed among the registered nodes: short
+/// after the start, when all nodes register, then rare, for gossip spreads
+/// what is new and the reads only join groups that know nothing of each other.
+/// Shorter than the time for which the store keeps its history.
+constexpr std::chrono::seconds first_read_interval(1);
+constexpr std::chrono::seconds longest_read_interval(10);
 constexpr std::chrono::milliseconds retry_interval(300);
 
 /// Returns the memory of this VM, or zero where the system does not tell.
@@ -186,30 +190,63 @@
     co_return true;
 }
 
-asio::awaitable<bool> node_members::read_others()
+void node_members::hear_of_all(const std::vector<ports::record>& records)
+{
+    for (const ports::record& found : records)
+    {
+        if (found.deleted)
+        {
+            continue;
+        }
+        if (const std::optional<membership::vm> vm = read_vm(found))
+        {
+            this->hear_of(*vm);
+        }
+    }
+}
+
+asio::awaitable<result<void>> node_members::read_others()
 {
     ports::record_range range{std::string(node_table), "", "", ""};
+    std::int64_t first_version = 0;
     while (true)
     {
         const result<ports::record_page> page =
             co_await this->store.read(range);
         if (!page)
         {
-            co_return false;
-        }
-        for (const ports::record& found : page.value().records)
-        {
-            if (const std::optional<membership::vm> vm = read_vm(found))
-            {
-                this->hear_of(*vm);
-            }
+            co_return page.error();
         }
+        // Changes from the first page on are read afterwards.
+        first_version =
+            first_version == 0 ? page.value().version : first_version;
+        this->hear_of_all(page.value().records);
         if (!page.value().has_more || page.value().records.empty())
         {
-            co_return true;
+            break;
         }
         range.from = page.value().records.back().key + '\0';
     }
+    this->read_version = first_version;
+    co_return boost::outcome_v2::success();
+}
+
+asio::awaitable<result<void>> node_members::read_changes()
+{
+    const result<ports::record_page> page = co_await this->store.follow(
+        std::string(node_table), this->read_version, duration::zero());
+    if (!page)
+    {
+        if (page.error().kind == error_kind::not_found)
+        {
+            // The store forgot what changed since; all is read again.
+            this->read_version = 0;
+        }
+        co_return page.error();
+    }
+    this->hear_of_all(page.value().records);
+    this->read_version = std::max(this->read_version, page.value().version);
+    co_return boost::outcome_v2::success();
 }
 
 asio::awaitable<void> node_members::keep_registered()
@@ -217,6 +254,7 @@
     asio::steady_timer timer(this->context);
     bool knows_past = false;
     bool registered = false;
+    duration interval = first_read_interval;
     while (true)
     {
         if (!knows_past)
@@ -227,10 +265,25 @@
         {
             registered = co_await this->register_self();
         }
-        const bool complete = co_await this->read_others();
-        timer.expires_after(
-            registered && complete ? duration(read_interval)
-                                   : duration(retry_interval));
+        // Not a conditional expression: GCC 12 loses awaitables in those.
+        result<void> read = boost::outcome_v2::success();
+        if (this->read_version == 0)
+        {
+            read = co_await this->read_others();
+        }
+        else
+        {
+            read = co_await this->read_changes();
+        }
+        if (registered && read)
+        {
+            timer.expires_after(interval);
+            interval = std::min<duration>(interval * 2, longest_read_interval);
+        }
+        else
+        {
+            timer.expires_after(retry_interval);
+        }
         co_await timer.async_wait(as_result);
     }
 }
--- a/servers/node/node_members.hpp
+++ b/servers/node/node_members.hpp
@@ -66,7 +66,10 @@
     /// its record is written over: jobs that it owned are this node's then.
     boost::asio::awaitable<bool> read_own_past();
     boost::asio::awaitable<bool> register_self();
-    boost::asio::awaitable<bool> read_others();
+    void hear_of_all(const std::vector<ports::record>& records);
+    /// Reads all registered nodes, or those that changed since.
+    boost::asio::awaitable<result<void>> read_others();
+    boost::asio::awaitable<result<void>> read_changes();
 
     boost::asio::io_context& context;
     const node_settings& settings;
@@ -74,6 +77,9 @@
     membership::vm self;
     fleet::gossip_service gossip;
     bool leaving = false;
+    /// Version of the store up to which registered nodes are known; zero for
+    /// none.
+    std::int64_t read_version = 0;
 };
 
 } // namespace chicory::node
--- a/servers/node/table_watch.cpp
+++ b/servers/node/table_watch.cpp
@@ -37,9 +37,10 @@
     std::string name,
     table_watch_hooks wanted,
     std::uint64_t seed,
-    duration gather_time)
+    gather_times gather)
     : context(io), store(source), table(std::move(name)),
-      hooks(std::move(wanted)), generator(seed), gathering(gather_time)
+      hooks(std::move(wanted)), generator(seed), gathering(gather),
+      gather_timer(io)
 {
 }
 
@@ -54,6 +55,36 @@
         });
 }
 
+void table_watch::begin_wait()
+{
+    ++this->waiting;
+    // What was gathered for nobody ends; a shorter time begins.
+    this->gather_timer.cancel();
+}
+
+void table_watch::end_wait()
+{
+    --this->waiting;
+}
+
+asio::awaitable<void> table_watch::gather()
+{
+    const time_point begun = read_monotonic_clock();
+    while (true)
+    {
+        const duration wanted =
+            this->waiting > 0 ? this->gathering.awaited : this->gathering.idle;
+        const duration left = begun + wanted - read_monotonic_clock();
+        if (left <= duration::zero())
+        {
+            break;
+        }
+        this->gather_timer.expires_after(left);
+        co_await this->gather_timer.async_wait(as_result);
+    }
+    this->gathered = read_monotonic_clock() - begun;
+}
+
 bool table_watch::is_current() const
 {
     return this->complete && this->reached;
@@ -106,7 +137,6 @@
         if (done)
         {
             this->failures = 0;
-            this->last_answer = read_monotonic_clock();
             this->set_contact(true, "");
             continue;
         }
@@ -175,13 +205,18 @@
     this->hooks.on_snapshot(records, first_version);
     this->version = first_version;
     this->complete = true;
+    this->last_answer = read_monotonic_clock();
     co_return boost::outcome_v2::success();
 }
 
 asio::awaitable<result<void>> table_watch::follow()
 {
+    // An answer comes at least once in `fresh_time`, gathering included.
+    const duration wait =
+        duration(follow_time) - std::min(duration(follow_time), this->gathered);
+    this->gathered = duration::zero();
     result<ports::record_page> page =
-        co_await this->store.follow(this->table, this->version, follow_time);
+        co_await this->store.follow(this->table, this->version, wait);
     if (!page)
     {
         co_return page.error();
@@ -191,11 +226,10 @@
         this->hooks.on_change(changed);
     }
     this->version = std::max(this->version, page.value().version);
-    if (!page.value().records.empty() && this->gathering > duration::zero())
+    this->last_answer = read_monotonic_clock();
+    if (!page.value().records.empty())
     {
-        asio::steady_timer timer(this->context);
-        timer.expires_after(this->gathering);
-        co_await timer.async_wait(as_result);
+        co_await this->gather();
     }
     co_return boost::outcome_v2::success();
 }
--- a/servers/node/table_watch.hpp
+++ b/servers/node/table_watch.hpp
@@ -4,6 +4,7 @@
 #include "ports/ports.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -26,23 +27,35 @@
     std::function<void(bool)> on_contact;
 };
 
+/// How long changes are gathered before the next call, so that many of them
+/// come in one.
+struct gather_times
+{
+    /// While somebody waits for changes of the table, and else.
+    duration awaited = duration::zero();
+    duration idle = duration::zero();
+};
+
 /// Follows one table of the store: reads all of it, then waits for changes,
 /// and reads all of it again when changes were forgotten meanwhile.
 class table_watch
 {
 public:
-    /// The store must outlive the watch. Changes that follow others within
-    /// `gather_time` come in one call with later ones.
+    /// The store must outlive the watch.
     table_watch(
         boost::asio::io_context& io,
         ports::record_store& source,
         std::string name,
         table_watch_hooks wanted,
         std::uint64_t seed,
-        duration gather_time = duration::zero());
+        gather_times gather = {});
 
     void start();
 
+    /// Says that somebody begins, or ceases, to wait for changes.
+    void begin_wait();
+    void end_wait();
+
     /// True when the store answered the last call, and a snapshot was read.
     bool is_current() const;
 
@@ -53,6 +66,7 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<result<void>> read_all();
     boost::asio::awaitable<result<void>> follow();
+    boost::asio::awaitable<void> gather();
     void set_contact(bool reached, const std::string& why);
     duration choose_pause();
 
@@ -61,7 +75,11 @@
     std::string table;
     table_watch_hooks hooks;
     std::mt19937_64 generator;
-    duration gathering;
+    gather_times gathering;
+    boost::asio::steady_timer gather_timer;
+    std::size_t waiting = 0;
+    /// Time that went into gathering since the last call.
+    duration gathered = duration::zero();
     bool complete = false;
     bool reached = true;
     time_point last_answer;
@@ -69,6 +87,27 @@
     int failures = 0;
 };
 
+/// Tells a watch for its lifetime that somebody waits for changes.
+class watch_wait
+{
+public:
+    explicit watch_wait(table_watch& watched) : watch(watched)
+    {
+        this->watch.begin_wait();
+    }
+
+    ~watch_wait()
+    {
+        this->watch.end_wait();
+    }
+
+    watch_wait(const watch_wait&) = delete;
+    watch_wait& operator=(const watch_wait&) = delete;
+
+private:
+    table_watch& watch;
+};
+
 } // namespace chicory::node
 
 #endif
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -595,6 +595,33 @@
         });
 }
 
+// Load pattern: hundreds of nodes that all read who else there is.
+TEST_F(node_process_test, reads_of_other_nodes_only_what_changed)
+{
+    this->start_serving();
+    // Nobody answers under this name, but the node hears of it and tells it.
+    membership::vm other;
+    other.id = "vm-2";
+    other.role = membership::vm_role::entry;
+    other.incarnation = 1;
+    other.region = "r1";
+    other.zone = "z1";
+    other.address = "127.0.0.1";
+    other.http_port = 1;
+    const std::size_t reads = this->store.calls["rows-get nodes"];
+    this->store.put("nodes", "", other.id, to_text(other));
+    this->wait_until(
+        [this]
+        {
+            return this->get(
+                           this->settings.entry_addresses,
+                           "/-/resolve?name=a.example&region=r1&zone=z1")
+                       .body.find("127.0.0.1:1\"") != std::string::npos;
+        });
+    EXPECT_EQ(this->store.calls["rows-get nodes"], reads);
+    EXPECT_GT(this->store.calls["rows-feed nodes"], 0U);
+}
+
 TEST_F(node_process_test, tells_callers_where_to_connect)
 {
     this->start_serving();
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -138,6 +138,12 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
+    static constexpr std::string_view prefix = "/-/";
+    ++this->calls
+          [target.substr(
+               prefix.size(),
+               std::min(target.find('?'), target.size()) - prefix.size()) +
+           " " + find(target, "table")];
     if (target == "/-/rows-tx")
     {
         co_await this->transact(exchange, std::move(body.value()));
--- a/tests/standins/store_standin.hpp
+++ b/tests/standins/store_standin.hpp
@@ -62,6 +62,8 @@
     /// Time before each call is done.
     std::chrono::milliseconds delay{0};
     int transactions = 0;
+    /// Calls so far by path and table, such as "rows-get nodes".
+    std::map<std::string, std::size_t> calls;
 
 private:
     using row_name = std::tuple<std::string, std::string, std::string>;
