--- a/core/event.cpp
+++ b/core/event.cpp
@@ -55,6 +55,7 @@
         {request_abandoned, "request_abandoned", info, "The caller left before the answer was complete."},
         {coordinator_silent, "coordinator_silent", warning, "The coordinator of a service's slots does not answer; a runner was chosen without it."},
         {slot_refused, "slot_refused", info, "The coordinator had no slot in time for an online request."},
+        {slot_redirected, "slot_redirected", debug, "The coordinator had no slot and named another group of the service's runners."},
 
         {job_accepted, "job_accepted", info, "A batch job was accepted."},
         {job_refused, "job_refused", info, "A batch job was not accepted."},
--- a/core/event.hpp
+++ b/core/event.hpp
@@ -42,6 +42,7 @@
     request_abandoned = 215,
     coordinator_silent = 216,
     slot_refused = 217,
+    slot_redirected = 218,
 
     // 300: batch jobs.
     job_accepted = 300,
--- a/experiments/slot_scheduler_cost_main.cpp
+++ b/experiments/slot_scheduler_cost_main.cpp
@@ -40,7 +40,7 @@
             std::to_string(number % static_cast<std::uint64_t>(wanted.nodes)),
         1,
         number};
-    request.service = "service";
+    request.group.service = "service";
     request.zone = "zone-" + std::to_string(number % 4);
     request.on_time_left = 60s;
     request.time_left = 600s;
--- a/policy/serving/coordinator_choice.cpp
+++ b/policy/serving/coordinator_choice.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <bit>
 #include <cstdint>
+#include <string_view>
+#include <tuple>
 #include <utility>
 
 namespace chicory::serving
@@ -29,24 +31,27 @@
 }
 
 std::vector<std::string> order_coordinators(
-    const std::string& service, const std::vector<live_node>& nodes)
+    const runner_group& group, const std::vector<live_node>& nodes)
 {
-    std::vector<std::string> names;
-    std::map<std::string, int> sizes;
+    const std::uint64_t seed = hash_bytes(to_text(group));
+    std::vector<std::tuple<int, bool, std::uint64_t, std::string_view>> ranked;
+    ranked.reserve(nodes.size());
     for (const live_node& node : nodes)
     {
-        names.push_back(node.id);
         // Sizes within a power of two count as equal.
-        sizes[node.id] = std::bit_width(node.memory_mb);
+        ranked.emplace_back(
+            std::bit_width(node.memory_mb),
+            node.zone == group.zone,
+            hash_bytes(node.id, seed),
+            node.id);
+    }
+    std::sort(ranked.rbegin(), ranked.rend());
+    std::vector<std::string> order;
+    order.reserve(ranked.size());
+    for (const auto& [size, near, rank, id] : ranked)
+    {
+        order.emplace_back(id);
     }
-    std::vector<std::string> order = order_nodes(service, names);
-    std::stable_sort(
-        order.begin(),
-        order.end(),
-        [&sizes](const std::string& left, const std::string& right)
-        {
-            return sizes.at(left) > sizes.at(right);
-        });
     return order;
 }
 
--- a/policy/serving/coordinator_choice.hpp
+++ b/policy/serving/coordinator_choice.hpp
@@ -3,6 +3,7 @@
 
 #include "core/core.hpp"
 #include "policy/serving/job_ownership.hpp"
+#include "policy/serving/runner_group.hpp"
 
 #include <chrono>
 #include <map>
@@ -18,12 +19,13 @@
 std::vector<std::string>
 order_nodes(const std::string& key, const std::vector<std::string>& nodes);
 
-/// Orders nodes for a service: the first that can be reached coordinates the
-/// service's slots. Large VMs go first: a VM's memory and its share of a
-/// processor grow together, and only the memory can be read. Answers the load
+/// Orders nodes for a group of runners: the first that can be reached
+/// coordinates the group's slots. Large VMs go first: a VM's memory and its
+/// share of a processor grow together, and only the memory can be read. Among
+/// VMs of one size those of the group's zone go first. Answers the load
 /// pattern of a burst that one small VM's processor cannot decide on in time.
 std::vector<std::string> order_coordinators(
-    const std::string& service, const std::vector<live_node>& nodes);
+    const runner_group& group, const std::vector<live_node>& nodes);
 
 /// Times by which a coordinator is taken for silent.
 struct coordinator_contact_settings
--- a/policy/serving/job_ownership.hpp
+++ b/policy/serving/job_ownership.hpp
@@ -19,6 +19,7 @@
     std::uint64_t incarnation = 0;
     /// Memory of the VM in MB; zero when unknown.
     std::uint32_t memory_mb = 0;
+    std::string zone = {};
 };
 
 /// Decides when this node takes over a job. Answers the load patterns of
--- a/policy/serving/runner_directory.cpp
+++ b/policy/serving/runner_directory.cpp
@@ -253,6 +253,20 @@
     return found;
 }
 
+std::map<std::string, std::size_t>
+runner_directory::count_by_zone(const std::string& service) const
+{
+    std::map<std::string, std::size_t> counts;
+    for (const auto& [id, known] : this->runners)
+    {
+        if (known.entry.service == service)
+        {
+            ++counts[known.entry.zone];
+        }
+    }
+    return counts;
+}
+
 std::uint64_t runner_directory::version() const
 {
     return this->changes;
--- a/policy/serving/runner_directory.hpp
+++ b/policy/serving/runner_directory.hpp
@@ -119,6 +119,10 @@
     std::vector<const runner_entry*>
     usable(time_point now, const std::string& service) const;
 
+    /// Returns how many runners of a service each zone has, usable or not.
+    std::map<std::string, std::size_t>
+    count_by_zone(const std::string& service) const;
+
     /// Grows with each change of what is usable by entry.
     std::uint64_t version() const;
 
--- /dev/null
+++ b/policy/serving/runner_group.cpp
@@ -0,0 +1,101 @@
+#include "policy/serving/runner_group.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace chicory::serving
+{
+
+std::string to_text(const runner_group& group)
+{
+    return group.service + "/" + group.zone + "/" + std::to_string(group.part);
+}
+
+runner_division::runner_division(
+    std::string its_service,
+    const std::map<std::string, std::size_t>& zones,
+    runner_division_settings settings)
+    : service(std::move(its_service))
+{
+    std::size_t total = 0;
+    for (const auto& [zone, count] : zones)
+    {
+        total += count;
+    }
+    if (total <= settings.most_undivided)
+    {
+        this->parts_of_zone[""] = 1;
+        return;
+    }
+    for (const auto& [zone, count] : zones)
+    {
+        if (count > 0)
+        {
+            this->parts_of_zone[zone] = static_cast<std::uint32_t>(
+                (count + settings.most_in_part - 1) / settings.most_in_part);
+        }
+    }
+}
+
+std::vector<runner_group> runner_division::groups() const
+{
+    std::vector<runner_group> all;
+    for (const auto& [zone, parts] : this->parts_of_zone)
+    {
+        for (std::uint32_t part = 0; part < parts; ++part)
+        {
+            all.push_back({this->service, zone, part});
+        }
+    }
+    return all;
+}
+
+runner_group runner_division::choose_part(
+    const std::string& zone, std::uint32_t parts, const std::string& key) const
+{
+    // Rendezvous hashing: one part more or less moves few keys.
+    std::uint32_t best = 0;
+    std::uint64_t best_rank = 0;
+    for (std::uint32_t part = 0; part < parts; ++part)
+    {
+        const std::uint64_t rank = hash_bytes(key, part + 1);
+        if (rank > best_rank)
+        {
+            best = part;
+            best_rank = rank;
+        }
+    }
+    return {this->service, zone, best};
+}
+
+runner_group runner_division::group_of(
+    const std::string& runner, const std::string& zone) const
+{
+    const auto found = this->parts_of_zone.find(zone);
+    if (found == this->parts_of_zone.end())
+    {
+        return {this->service, "", 0};
+    }
+    return this->choose_part(zone, found->second, runner);
+}
+
+runner_group
+runner_division::home_of(const std::string& node, const std::string& zone) const
+{
+    if (const auto found = this->parts_of_zone.find(zone);
+        found != this->parts_of_zone.end())
+    {
+        return this->choose_part(zone, found->second, node);
+    }
+    const auto nearest = std::max_element(
+        this->parts_of_zone.begin(),
+        this->parts_of_zone.end(),
+        [&zone](const auto& left, const auto& right)
+        {
+            return hash_bytes(left.first, hash_bytes(zone)) <
+                   hash_bytes(right.first, hash_bytes(zone));
+        });
+    return this->choose_part(nearest->first, nearest->second, node);
+}
+
+} // namespace chicory::serving
--- a/policy/serving/slot_messages.hpp
+++ b/policy/serving/slot_messages.hpp
@@ -2,6 +2,7 @@
 #define CHICORY_POLICY_SERVING_SLOT_MESSAGES_HPP
 
 #include "core/core.hpp"
+#include "policy/serving/runner_group.hpp"
 
 #include <cstdint>
 #include <string>
@@ -36,12 +37,14 @@
     }
 };
 
-/// Asks for a slot of a service. Times are relative to the sending.
+/// Asks for a slot of a group of runners. Times are relative to the sending.
 struct slot_request
 {
     slot_id id;
     work_kind kind = work_kind::online;
-    std::string service;
+    runner_group group;
+    /// True when another group had no slot and named this one.
+    bool redirected = false;
     /// Availability zone of the node that asks.
     std::string zone;
     /// Time until an answer begun later is late.
@@ -66,7 +69,8 @@
 {
     slot_id id;
     work_kind kind = work_kind::online;
-    std::string service;
+    /// Group whose coordinator granted the slot.
+    runner_group group;
     std::string runner;
     /// Time since the work was sent.
     duration age = duration::zero();
@@ -127,6 +131,8 @@
     queued,
     /// The request has crashed runners and is not run again.
     quarantined,
+    /// Ask the coordinator of `elsewhere`: this group has no slot.
+    redirected,
 };
 
 /// A decision of the coordinator for one node.
@@ -136,6 +142,7 @@
     verdict_kind kind = verdict_kind::queued;
     std::string runner;
     duration retry_after = duration::zero();
+    runner_group elsewhere = {};
 
     bool operator==(const slot_verdict&) const = default;
 };
--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -13,6 +13,8 @@
 
 /// Weight of a new run in the mean length of runs.
 constexpr double mean_weight = 0.05;
+/// Crashed runs that a digest names; a digest is one datagram.
+constexpr std::size_t most_told_crashes = 16;
 
 void update_mean(double& mean, double value)
 {
@@ -47,7 +49,7 @@
 
 slot_scheduler::slot_scheduler(slot_scheduler_settings initial)
     : settings(initial), runners(initial.runners),
-      crashes(initial.crash_memory),
+      crashes(initial.crash_memory), neighbours(initial.overflow),
       mean_online_us(static_cast<double>(initial.first_online_run.count()))
 {
 }
@@ -172,13 +174,13 @@
             {request.id,
              verdict_kind::granted,
              run->second.runner,
-             duration::zero()});
+             duration::zero(),
+             {}});
         return false;
     }
     if (this->is_quarantined(now, request.request_digest))
     {
-        out.push_back(
-            {request.id, verdict_kind::quarantined, "", duration::zero()});
+        out.push_back({request.id, verdict_kind::quarantined, "", {}, {}});
         return false;
     }
     if (this->queue.contains(request.id))
@@ -201,7 +203,7 @@
     }
     if (this->queue.contains(request.id))
     {
-        out.push_back({request.id, verdict_kind::queued, "", duration::zero()});
+        out.push_back({request.id, verdict_kind::queued, "", {}, {}});
     }
     return out;
 }
@@ -252,6 +254,16 @@
     notice.incarnation = run.id.number;
     notice.time_to_live = this->settings.crash_memory;
     this->crashes.merge(notice, now);
+    if (std::find(
+            this->latest_crashes.begin(), this->latest_crashes.end(), run) ==
+        this->latest_crashes.end())
+    {
+        this->latest_crashes.push_back(run);
+        if (this->latest_crashes.size() > most_told_crashes)
+        {
+            this->latest_crashes.pop_front();
+        }
+    }
     if (this->is_quarantined(now, run.request_digest))
     {
         this->quarantine_waiting(out, run.request_digest);
@@ -275,7 +287,7 @@
         if (found != this->queue.end() &&
             found->second.request.request_digest == request_digest)
         {
-            out.push_back({id, verdict_kind::quarantined, "", {}});
+            out.push_back({id, verdict_kind::quarantined, "", {}, {}});
             this->queue.erase(found);
         }
     }
@@ -320,8 +332,7 @@
         else if (this->running[slot.id].yielding)
         {
             // The word to leave may have been lost.
-            out.push_back(
-                {slot.id, verdict_kind::yield, slot.runner, duration::zero()});
+            out.push_back({slot.id, verdict_kind::yield, slot.runner, {}, {}});
         }
     }
     for (const slot_request& request : waiting)
@@ -389,8 +400,7 @@
     run.yielding = true;
     this->batch_runs.erase(*leaving);
     this->runners.end_run(run.runner);
-    out.push_back(
-        {*leaving, verdict_kind::yield, run.runner, duration::zero()});
+    out.push_back({*leaving, verdict_kind::yield, run.runner, {}, {}});
     return run.runner;
 }
 
@@ -447,7 +457,7 @@
         this->running.at(id).due = due;
         this->running.at(id).done_at = now + work;
     }
-    out.push_back({id, verdict_kind::granted, runner, duration::zero()});
+    out.push_back({id, verdict_kind::granted, runner, {}, {}});
 }
 
 std::vector<const slot_id*> slot_scheduler::order_online(time_point now)
@@ -576,6 +586,111 @@
         this->dispatch_online(out, now);
     }
     this->dispatch_batch(out, now, planned);
+    this->redirect_waiting(out, now);
+}
+
+bool slot_scheduler::redirect(
+    verdicts& out, time_point now, const slot_id& id, work_kind kind)
+{
+    const std::optional<runner_group> group =
+        this->neighbours.take_room(now, kind, id);
+    if (!group)
+    {
+        return false;
+    }
+    slot_verdict verdict;
+    verdict.id = id;
+    verdict.kind = verdict_kind::redirected;
+    verdict.elsewhere = *group;
+    out.push_back(std::move(verdict));
+    // Last, for the id may be the key of the entry.
+    this->queue.erase(id);
+    return true;
+}
+
+void slot_scheduler::redirect_waiting(verdicts& out, time_point now)
+{
+    if (this->queue.empty())
+    {
+        return;
+    }
+    bool has_room = true;
+    for (const slot_id* id : this->order_online(now))
+    {
+        const slot_request& request = this->queue.at(*id).request;
+        if (has_room && !request.redirected &&
+            !this->must_run_alone(now, request))
+        {
+            has_room = this->redirect(out, now, *id, work_kind::online);
+        }
+    }
+    // Only slots that nobody here can use wait for the items of others.
+    if (!this->neighbours.has_room(now, work_kind::batch))
+    {
+        return;
+    }
+    for (const slot_id* id : this->order_batch())
+    {
+        if (!this->queue.at(*id).request.redirected &&
+            !this->redirect(out, now, *id, work_kind::batch))
+        {
+            return;
+        }
+    }
+}
+
+std::vector<slot_verdict>
+slot_scheduler::on_digest(time_point now, const group_digest& digest)
+{
+    verdicts out;
+    this->neighbours.on_digest(now, digest);
+    for (const crashed_run& run : digest.crashed)
+    {
+        const verdicts told = this->on_crash(now, run);
+        out.insert(out.end(), told.begin(), told.end());
+    }
+    this->redirect_waiting(out, now);
+    return out;
+}
+
+group_digest slot_scheduler::make_digest(time_point now)
+{
+    group_digest digest;
+    const std::int64_t idle = this->runners.idle();
+    const std::int64_t reserved = this->reserved_slots(now);
+    const auto waiting_online =
+        static_cast<std::int64_t>(this->waiting(work_kind::online));
+    const auto waiting_batch =
+        static_cast<std::int64_t>(this->waiting(work_kind::batch));
+    digest.online_room = idle +
+                         static_cast<std::int64_t>(this->batch_runs.size()) -
+                         reserved - waiting_online;
+    digest.batch_room = idle - reserved - waiting_online - waiting_batch;
+    digest.crashed.assign(
+        this->latest_crashes.begin(), this->latest_crashes.end());
+    return digest;
+}
+
+bool slot_scheduler::is_in_use() const
+{
+    return !this->nodes.empty();
+}
+
+void slot_scheduler::send_guests_back(verdicts& out, time_point now)
+{
+    for (auto entry = this->queue.begin(); entry != this->queue.end();)
+    {
+        const waiting_request& waiting = entry->second;
+        if (waiting.request.kind != work_kind::batch ||
+            !waiting.request.redirected ||
+            now - waiting.arrived < this->settings.guest_wait)
+        {
+            ++entry;
+            continue;
+        }
+        out.push_back({entry->first, verdict_kind::refused, "", {}, {}});
+        entry = this->queue.erase(entry);
+    }
 }
 
 wait_estimate slot_scheduler::estimate_waits(time_point now) const
@@ -642,7 +757,7 @@
             this->refused[waiting.request.request_digest] =
                 now + this->settings.return_memory;
         }
-        out.push_back({*id, verdict_kind::refused, "", back});
+        out.push_back({*id, verdict_kind::refused, "", back, {}});
         this->queue.erase(found);
     }
 }
@@ -671,6 +786,7 @@
         });
     this->dispatch(out, now);
     this->refuse_late(out, now);
+    this->send_guests_back(out, now);
     return out;
 }
 
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -2,6 +2,7 @@
 #define CHICORY_POLICY_SERVING_SLOT_SCHEDULER_HPP
 
 #include "policy/online/online.hpp"
+#include "policy/serving/group_overflow.hpp"
 #include "policy/serving/item_plan.hpp"
 #include "policy/serving/runner_slots.hpp"
 #include "policy/serving/slot_messages.hpp"
@@ -24,6 +25,10 @@
 struct slot_scheduler_settings
 {
     runner_slots_settings runners;
+    group_overflow_settings overflow;
+    /// An item that another group sent here asks its own group again after it
+    /// waited so long.
+    duration guest_wait = std::chrono::milliseconds(1000);
     /// Expected length of an online run before any has ended.
     duration first_online_run = std::chrono::milliseconds(750);
     /// Time from sending a request to a free slot until its first piece.
@@ -53,7 +58,7 @@
     duration batch_slots_time = std::chrono::seconds(6);
 };
 
-/// Gives the slots of one service's runners to online requests and batch
+/// Gives the slots of one group of runners to online requests and batch
 /// items of all nodes, so that a runner never has more than it can work on at
 /// once. It answers these load patterns:
 ///
@@ -69,6 +74,8 @@
 /// - Copies of a request that crashes the runners that begin it, sent by many
 ///   nodes: after the first crash its copies run one at a time, after the
 ///   second none is run.
+/// - More than this group has slots for while other groups have room: what
+///   would wait is sent there once; see `group_overflow`.
 /// - Runners that fail or go silent: see `runner_slots`.
 /// - More batch work than fits: the earliest due first among the items that
 ///   `choose_put_off` keeps, then the others; these also leave their slots
@@ -98,6 +105,17 @@
     /// Copies that wait get their verdict when none may run any more.
     std::vector<slot_verdict> on_crash(time_point now, const crashed_run& run);
 
+    /// Takes what the coordinator of another group of the service tells.
+    std::vector<slot_verdict>
+    on_digest(time_point now, const group_digest& digest);
+
+    /// Returns what the coordinators of other groups are to know. The name of
+    /// the group is left to the caller.
+    group_digest make_digest(time_point now);
+
+    /// Returns whether a node uses this group or waits for it.
+    bool is_in_use() const;
+
     /// Takes all slots that a node uses and all requests of it that wait.
     std::vector<slot_verdict> on_report(
         time_point now,
@@ -180,6 +198,12 @@
     void dispatch_online(verdicts& out, time_point now);
     void dispatch_batch(verdicts& out, time_point now, bool may_displace);
     void dispatch(verdicts& out, time_point now);
+    /// Sends what waits to groups that have room for it.
+    void redirect_waiting(verdicts& out, time_point now);
+    bool
+    redirect(verdicts& out, time_point now, const slot_id& id, work_kind kind);
+    /// Refuses items of other groups that waited here for long.
+    void send_guests_back(verdicts& out, time_point now);
     void refuse_late(verdicts& out, time_point now);
     bool must_run_alone(time_point now, const slot_request& request) const;
     bool is_running(std::uint64_t request_digest) const;
@@ -203,6 +227,9 @@
     /// Refused requests by digest, and until when they are remembered.
     std::map<std::uint64_t, time_point> refused;
     online::quarantine crashes;
+    /// The latest of them, for the other groups.
+    std::deque<crashed_run> latest_crashes;
+    group_overflow neighbours;
     double mean_online_us = 0.0;
     /// Items that are put off, as of the last plan.
     std::set<slot_id> put_off;
--- a/servers/node/node_members.cpp
+++ b/servers/node/node_members.cpp
@@ -322,17 +322,29 @@
             id != this->self.id && state == membership::vm_state::alive)
         {
             live.push_back(
-                {id, record.what.incarnation, record.details.memory_mb});
+                {id,
+                 record.what.incarnation,
+                 record.details.memory_mb,
+                 record.details.zone});
         }
     }
     if (!this->leaving)
     {
         live.push_back(
-            {this->self.id, this->incarnation(), this->self.memory_mb});
+            {this->self.id,
+             this->incarnation(),
+             this->self.memory_mb,
+             this->self.zone});
     }
     return live;
 }
 
+std::uint64_t node_members::version() const
+{
+    // This node's own word that it leaves is a change of the members too.
+    return this->gossip.state().version() + 1;
+}
+
 std::optional<membership::vm> node_members::find(const std::string& vm_id) const
 {
     if (vm_id == this->self.id)
--- a/servers/node/node_members.hpp
+++ b/servers/node/node_members.hpp
@@ -55,6 +55,9 @@
     /// leaving.
     std::vector<serving::live_node> live_nodes() const;
 
+    /// Grows with each change of the live nodes.
+    std::uint64_t version() const;
+
     /// Returns what is known of a node, or nothing.
     std::optional<membership::vm> find(const std::string& vm_id) const;
 
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -86,9 +86,23 @@
           {
               this->take_slot_packet(sender, packet);
           }),
+      topology(
+          this->knowledge,
+          this->settings.vm_id,
+          this->settings.zone,
+          {[this]
+           {
+               return this->members.live_nodes();
+           },
+           [this]
+           {
+               return this->members.version();
+           }}),
       coordinator(
           io,
           this->knowledge,
+          this->topology,
+          this->settings.vm_id,
           [this](const std::string& node, const wire::slot_packet& packet)
           {
               this->packets.send(node, packet);
@@ -96,23 +110,20 @@
       slots(
           io,
           this->knowledge,
+          this->topology,
           this->settings.vm_id,
           this->settings.zone,
           this->incarnation,
-          {[this](const std::string& node, const wire::slot_packet& packet)
-           {
-               this->packets.send(node, packet);
-           },
-           [this]
-           {
-               return this->members.live_nodes();
-           }}),
+          [this](const std::string& node, const wire::slot_packet& packet)
+          {
+              this->packets.send(node, packet);
+          }),
       runners(
           io.get_executor(),
           this->knowledge,
-          [this](const std::string& service)
+          [this](const serving::runner_entry& runner)
           {
-              this->slots.report_now(service);
+              this->slots.report_leaving(runner);
           }),
       jobs(
           io,
@@ -342,7 +353,7 @@
     std::int64_t online = 0;
     std::int64_t batch = 0;
     std::int64_t waiting = 0;
-    for (const auto& [service, scheduler] : this->coordinator.schedulers())
+    for (const auto& [group, scheduler] : this->coordinator.schedulers())
     {
         online += static_cast<std::int64_t>(
             scheduler.slots_in_use(serving::work_kind::online));
@@ -466,7 +477,7 @@
         this->slots.on_verdicts(sender, *verdicts);
         return;
     }
-    this->coordinator.on_packet(packet);
+    this->coordinator.on_packet(sender, packet);
 }
 
 void node_process::announce()
--- a/servers/node/node_process.hpp
+++ b/servers/node/node_process.hpp
@@ -15,6 +15,7 @@
 #include "servers/node/slot_client.hpp"
 #include "servers/node/slot_exchange.hpp"
 #include "servers/node/slot_service.hpp"
+#include "servers/node/slot_topology.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -75,6 +76,7 @@
     node_members members;
     peer_exchange peers;
     slot_exchange packets;
+    slot_topology topology;
     slot_service coordinator;
     slot_client slots;
     runner_caller runners;
--- a/servers/node/runner_caller.cpp
+++ b/servers/node/runner_caller.cpp
@@ -32,7 +32,7 @@
         log_event(
             event::runner_leaving_noticed,
             {{"runner", asked.id}, {"service", asked.service}});
-        this->on_leaving(asked.service);
+        this->on_leaving(asked);
     }
 }
 
--- a/servers/node/runner_caller.hpp
+++ b/servers/node/runner_caller.hpp
@@ -46,9 +46,8 @@
 class runner_caller
 {
 public:
-    /// Called with a runner's service when the runner says for the first time
-    /// that it is leaving.
-    using leaving_hook = std::function<void(const std::string& service)>;
+    /// Called with a runner when it says for the first time that it is leaving.
+    using leaving_hook = std::function<void(const serving::runner_entry&)>;
 
     runner_caller(
         boost::asio::any_io_executor executor,
--- a/servers/node/slot_client.cpp
+++ b/servers/node/slot_client.cpp
@@ -23,9 +23,6 @@
 constexpr std::chrono::milliseconds batch_tick_interval(400);
 /// Time after which a request that was not answered is sent again.
 constexpr std::chrono::milliseconds repeat_interval(40);
-/// Time for which an order of coordinators is used again; short beside the
-/// time after which a silent one is avoided.
-constexpr std::chrono::milliseconds order_lifetime(20);
 /// Runs that crashed a runner that a report names; a report is one datagram.
 constexpr std::size_t most_crashed = 16;
 /// Time between two reports of all slots in use.
@@ -45,13 +42,14 @@
 slot_client::slot_client(
     asio::io_context& io,
     fleet_knowledge& known,
+    slot_topology& groups,
     std::string vm_id,
     std::string zone,
     std::uint64_t started,
-    hooks wanted)
+    send_hook hook)
     : context(io), ticker(io), knowledge(known), self(std::move(vm_id)),
-      own_zone(std::move(zone)), incarnation(started),
-      io_hooks(std::move(wanted))
+      own_zone(std::move(zone)), incarnation(started), send(std::move(hook)),
+      topology(groups)
 {
 }
 
@@ -60,23 +58,10 @@
     this->tick();
 }
 
-const std::vector<std::string>&
-slot_client::coordinators(time_point now, const std::string& service)
+std::optional<std::string> slot_client::find_coordinator(
+    time_point now, const serving::runner_group& group)
 {
-    known_order& known = this->orders[service];
-    if (known.nodes.empty() || now - known.read_at > duration(order_lifetime))
-    {
-        known.nodes =
-            serving::order_coordinators(service, this->io_hooks.live_nodes());
-        known.read_at = now;
-    }
-    return known.nodes;
-}
-
-std::optional<std::string>
-slot_client::find_coordinator(time_point now, const std::string& service)
-{
-    for (const std::string& node : this->coordinators(now, service))
+    for (const std::string& node : this->topology.coordinators(group))
     {
         if (node == this->self || this->contact.is_answering(now, node))
         {
@@ -89,7 +74,7 @@
 void slot_client::ask(time_point now, pending_wish& pending)
 {
     const std::optional<std::string> coordinator =
-        this->find_coordinator(now, pending.request.service);
+        this->find_coordinator(now, pending.request.group);
     if (!coordinator)
     {
         return;
@@ -100,7 +85,7 @@
     pending.request.time_left = pending.wish.gives_up_at - now;
     this->contact.on_sent(now, *coordinator);
     const serving::slot_request request = pending.request;
-    this->io_hooks.send(*coordinator, request);
+    this->send(*coordinator, request);
 }
 
 void slot_client::settle(pending_wish& pending, slot_answer answer)
@@ -123,7 +108,7 @@
     const serving::runner_entry* best = nullptr;
     std::tuple<std::int64_t, bool, std::uint64_t> best_rank;
     for (const serving::runner_entry* entry :
-         this->knowledge.runners().usable(now, pending.request.service))
+         this->knowledge.runners().usable(now, pending.wish.service))
     {
         const std::vector<std::string>& excluded = pending.request.excluded;
         if (std::find(excluded.begin(), excluded.end(), entry->id) !=
@@ -143,7 +128,7 @@
     }
     log_event(
         event::coordinator_silent,
-        {{"service", pending.request.service},
+        {{"service", pending.wish.service},
          {"runner", best == nullptr ? "none" : best->id}});
     slot_answer answer;
     answer.id = pending.request.id;
@@ -164,7 +149,7 @@
     serving::slot_request& request = pending->request;
     request.id = {this->self, this->incarnation, number};
     request.kind = pending->wish.kind;
-    request.service = pending->wish.service;
+    request.group = this->topology.home_of(pending->wish.service);
     request.zone = this->own_zone;
     request.work_left = pending->wish.work_left;
     request.request_digest = pending->wish.request_digest;
@@ -194,7 +179,7 @@
              !this->contact.is_answering(now, pending->coordinator) ||
              this->contact.awaits_answer(pending->coordinator)))
         {
-            if (online && !this->find_coordinator(now, request.service))
+            if (online && !this->find_coordinator(now, request.group))
             {
                 this->choose_directly(now, *pending);
                 break;
@@ -217,7 +202,7 @@
     {
         this->used[number] = {
             pending->wish.kind,
-            request.service,
+            request.group,
             pending->answer.runner,
             read_monotonic_clock(),
             read_monotonic_clock(),
@@ -228,10 +213,10 @@
     {
         co_return pending->answer;
     }
-    this->io_hooks.send(
+    this->send(
         pending->coordinator,
         wire::slot_release{
-            request.service, request.id, serving::slot_outcome::unused});
+            request.group, request.id, serving::slot_outcome::unused});
     slot_answer withdrawn;
     withdrawn.id = request.id;
     co_return withdrawn;
@@ -247,26 +232,26 @@
     {
         return;
     }
-    const std::string service = found->second.service;
+    const serving::runner_group group = found->second.group;
     this->used.erase(found);
     if (outcome == serving::slot_outcome::crashed && request_digest != 0)
     {
-        std::deque<serving::crashed_run>& known = this->crashed[service];
+        std::deque<serving::crashed_run>& known = this->crashed[group.service];
         known.push_back({request_digest, id});
         if (known.size() > most_crashed)
         {
             known.pop_front();
         }
     }
-    this->send_release({service, id, outcome, request_digest});
+    this->send_release({group, id, outcome, request_digest});
 }
 
 void slot_client::send_release(const wire::slot_release& packet)
 {
     if (const std::optional<std::string> coordinator =
-            this->find_coordinator(read_monotonic_clock(), packet.service))
+            this->find_coordinator(read_monotonic_clock(), packet.group))
     {
-        this->io_hooks.send(*coordinator, packet);
+        this->send(*coordinator, packet);
     }
 }
 
@@ -294,8 +279,22 @@
     }
 }
 
+void slot_client::redirect(
+    const std::shared_ptr<pending_wish>& pending,
+    const serving::runner_group& group)
+{
+    log_event(
+        event::slot_redirected,
+        {{"slot", pending->request.id.number},
+         {"from", to_text(pending->request.group)},
+         {"to", to_text(group)}});
+    pending->request.group = group;
+    pending->request.redirected = true;
+    this->ask(read_monotonic_clock(), *pending);
+}
+
 void slot_client::take(
-    const std::string& service, const serving::slot_verdict& verdict)
+    const serving::runner_group& group, const serving::slot_verdict& verdict)
 {
     const auto slot = this->used.find(verdict.id.number);
     if (verdict.kind == serving::verdict_kind::yield)
@@ -318,7 +317,7 @@
         if (granted && found == this->wishes.end() && slot == this->used.end())
         {
             this->send_release(
-                {service, verdict.id, serving::slot_outcome::unused});
+                {group, verdict.id, serving::slot_outcome::unused});
         }
         return;
     }
@@ -326,6 +325,20 @@
     {
         return;
     }
+    if (verdict.kind == serving::verdict_kind::redirected)
+    {
+        // A verdict that came twice is from the group before.
+        if (found->second->request.group == group)
+        {
+            this->redirect(found->second, verdict.elsewhere);
+        }
+        return;
+    }
+    if (granted)
+    {
+        // The group that granted the slot takes it back.
+        found->second->request.group = group;
+    }
     slot_answer answer;
     answer.id = verdict.id;
     answer.kind = granted ? slot_answer::answer_kind::granted
@@ -349,37 +362,37 @@
         if (verdict.id.node == this->self &&
             verdict.id.incarnation == this->incarnation)
         {
-            this->take(packet.service, verdict);
+            this->take(packet.group, verdict);
         }
     }
 }
 
-void slot_client::report(time_point now, const std::string& service)
+void slot_client::report(time_point now, const serving::runner_group& group)
 {
     const std::optional<std::string> coordinator =
-        this->find_coordinator(now, service);
+        this->find_coordinator(now, group);
     if (!coordinator)
     {
         return;
     }
     wire::slot_report all;
-    all.service = service;
+    all.group = group;
     all.node = this->self;
     all.incarnation = this->incarnation;
-    if (const auto known = this->crashed.find(service);
+    if (const auto known = this->crashed.find(group.service);
         known != this->crashed.end())
     {
         all.crashed.assign(known->second.begin(), known->second.end());
     }
-    all.leaving = this->knowledge.runners().leaving(service);
+    all.leaving = this->knowledge.runners().leaving(group.service);
     for (const auto& [number, slot] : this->used)
     {
-        if (slot.service == service)
+        if (slot.group == group)
         {
             all.held.push_back(
                 {{this->self, this->incarnation, number},
                  slot.kind,
-                 service,
+                 group,
                  slot.runner,
                  now - slot.since,
                  now - slot.last_progress});
@@ -387,7 +400,7 @@
     }
     for (const auto& [number, pending] : this->wishes)
     {
-        if (pending->request.service == service && !pending->answered)
+        if (pending->request.group == group && !pending->answered)
         {
             pending->coordinator = *coordinator;
             pending->request.on_time_left = pending->wish.on_time_until - now;
@@ -398,14 +411,17 @@
     this->contact.on_sent(now, *coordinator);
     if (!all.held.empty() || !all.waiting.empty() || !all.leaving.empty())
     {
-        this->reported.insert(service);
+        this->reported.insert(group);
     }
-    this->io_hooks.send(*coordinator, all);
+    this->send(*coordinator, all);
 }
 
-void slot_client::report_now(const std::string& service)
+void slot_client::report_leaving(const serving::runner_entry& runner)
 {
-    this->report(read_monotonic_clock(), service);
+    this->report(
+        read_monotonic_clock(),
+        this->topology.division(runner.service)
+            .group_of(runner.id, runner.zone));
 }
 
 void slot_client::tick()
@@ -415,18 +431,19 @@
     {
         this->next_report = now + duration(report_interval);
         // A coordinator that was told of slots hears also of their end.
-        std::set<std::string> services = std::exchange(this->reported, {});
+        std::set<serving::runner_group> groups =
+            std::exchange(this->reported, {});
         for (const auto& [number, slot] : this->used)
         {
-            services.insert(slot.service);
+            groups.insert(slot.group);
         }
         for (const auto& [number, pending] : this->wishes)
         {
-            services.insert(pending->request.service);
+            groups.insert(pending->request.group);
         }
-        for (const std::string& service : services)
+        for (const serving::runner_group& group : groups)
         {
-            this->report(now, service);
+            this->report(now, group);
         }
     }
     this->ticker.expires_after(tick_interval);
--- a/servers/node/slot_client.hpp
+++ b/servers/node/slot_client.hpp
@@ -3,6 +3,7 @@
 
 #include "policy/serving/serving.hpp"
 #include "servers/node/fleet_knowledge.hpp"
+#include "servers/node/slot_topology.hpp"
 #include "wire/wire.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -69,27 +70,25 @@
     std::function<void()> wake;
 };
 
-/// Gets slots from the coordinator of a service. Where no coordinator
+/// Gets slots from the coordinator of the own group of a service's runners, or
+/// of the one that it names. Where no coordinator
 /// answers, an online request goes to the runner that this node itself has
 /// the fewest requests at.
 class slot_client
 {
 public:
-    struct hooks
-    {
-        /// Sends a packet to a node, this one included.
-        std::function<void(const std::string&, const wire::slot_packet&)> send;
-        /// Returns the nodes that may coordinate.
-        std::function<std::vector<serving::live_node>()> live_nodes;
-    };
+    /// Sends a packet to a node, this one included.
+    using send_hook =
+        std::function<void(const std::string&, const wire::slot_packet&)>;
 
     slot_client(
         boost::asio::io_context& io,
         fleet_knowledge& known,
+        slot_topology& groups,
         std::string vm_id,
         std::string zone,
         std::uint64_t started,
-        hooks wanted);
+        send_hook hook);
 
     void start();
 
@@ -103,9 +102,9 @@
         serving::slot_outcome outcome,
         std::uint64_t request_digest = 0);
 
-    /// Tells the coordinator of a service at once what this node knows:
-    /// slots, requests and runners that are leaving.
-    void report_now(const std::string& service);
+    /// Tells the coordinator of a runner's group at once that the runner is
+    /// leaving.
+    void report_leaving(const serving::runner_entry& runner);
 
     /// Takes that the runner of this slot sent bytes.
     void note_progress(const serving::slot_id& id);
@@ -134,7 +133,7 @@
     struct used_slot
     {
         serving::work_kind kind = serving::work_kind::online;
-        std::string service;
+        serving::runner_group group;
         std::string runner;
         time_point since;
         time_point last_progress;
@@ -142,24 +141,20 @@
         bool must_yield = false;
     };
 
-    /// The nodes that may coordinate a service, as of a moment ago.
-    struct known_order
-    {
-        std::vector<std::string> nodes;
-        time_point read_at;
-    };
-
     void tick();
-    const std::vector<std::string>&
-    coordinators(time_point now, const std::string& service);
     std::optional<std::string>
-    find_coordinator(time_point now, const std::string& service);
+    find_coordinator(time_point now, const serving::runner_group& group);
     void ask(time_point now, pending_wish& pending);
     void settle(pending_wish& pending, slot_answer answer);
     void choose_directly(time_point now, pending_wish& pending);
     void send_release(const wire::slot_release& packet);
-    void report(time_point now, const std::string& service);
-    void take(const std::string& service, const serving::slot_verdict& verdict);
+    void report(time_point now, const serving::runner_group& group);
+    void take(
+        const serving::runner_group& group,
+        const serving::slot_verdict& verdict);
+    void redirect(
+        const std::shared_ptr<pending_wish>& pending,
+        const serving::runner_group& group);
 
     boost::asio::io_context& context;
     boost::asio::steady_timer ticker;
@@ -167,16 +162,16 @@
     std::string self;
     std::string own_zone;
     std::uint64_t incarnation = 0;
-    hooks io_hooks;
+    send_hook send;
+    slot_topology& topology;
     serving::coordinator_contact contact;
-    std::map<std::string, known_order> orders;
     /// By service, the latest runs that crashed a runner; a new coordinator
     /// hears of them.
     std::map<std::string, std::deque<serving::crashed_run>> crashed;
     std::map<std::uint64_t, std::shared_ptr<pending_wish>> wishes;
     std::map<std::uint64_t, used_slot> used;
-    /// Services whose last report named slots or wishes.
-    std::set<std::string> reported;
+    /// Groups whose last report named anything.
+    std::set<serving::runner_group> reported;
     std::uint64_t next_number = 1;
     time_point next_report;
 };
--- a/servers/node/slot_service.cpp
+++ b/servers/node/slot_service.cpp
@@ -15,12 +15,21 @@
 constexpr std::chrono::milliseconds tick_interval(25);
 /// Time between two looks at runners that are avoided for a time.
 constexpr std::chrono::milliseconds refresh_interval(100);
+/// Time between two words to the coordinators of other groups.
+constexpr std::chrono::milliseconds news_interval(150);
+/// Time for which the sender of a group's news is taken for its coordinator.
+constexpr std::chrono::milliseconds news_lifetime(500);
 
 } // namespace
 
 slot_service::slot_service(
-    boost::asio::io_context& io, fleet_knowledge& known, send_hook hook)
-    : timer(io), knowledge(known), send(std::move(hook))
+    boost::asio::io_context& io,
+    fleet_knowledge& known,
+    slot_topology& its_topology,
+    std::string vm_id,
+    send_hook hook)
+    : timer(io), knowledge(known), topology(its_topology),
+      self(std::move(vm_id)), send(std::move(hook))
 {
 }
 
@@ -33,9 +42,14 @@
 {
     const time_point now = read_monotonic_clock();
     this->refresh_runners(now, false);
-    for (auto& [service, scheduler] : this->services)
+    for (auto& [group, scheduler] : this->groups)
     {
-        this->answer(service, "", scheduler.on_tick(now));
+        this->answer(group, "", scheduler.on_tick(now));
+    }
+    if (now >= this->next_news)
+    {
+        this->next_news = now + duration(news_interval);
+        this->tell_neighbours(now);
     }
     this->timer.expires_after(tick_interval);
     this->timer.async_wait(
@@ -48,18 +62,6 @@
         });
 }
 
-std::vector<serving::slot_runner>
-slot_service::usable_runners(time_point now, const std::string& service)
-{
-    std::vector<serving::slot_runner> runners;
-    for (const serving::runner_entry* entry :
-         this->knowledge.runners().usable(now, service))
-    {
-        runners.push_back({entry->id, entry->zone, entry->slots});
-    }
-    return runners;
-}
-
 void slot_service::refresh_runners(time_point now, bool always)
 {
     this->knowledge.runners().on_tick(now);
@@ -70,28 +72,30 @@
     }
     this->seen_runners = version;
     this->next_refresh = now + duration(refresh_interval);
-    for (auto& [service, scheduler] : this->services)
+    for (auto& [group, scheduler] : this->groups)
     {
         this->answer(
-            service,
+            group,
             "",
-            scheduler.set_runners(now, this->usable_runners(now, service)));
+            scheduler.set_runners(
+                now, this->topology.usable_runners(now, group)));
     }
 }
 
 serving::slot_scheduler&
-slot_service::scheduler_of(time_point now, const std::string& service)
+slot_service::scheduler_of(time_point now, const serving::runner_group& group)
 {
-    const auto [entry, added] = this->services.try_emplace(service);
+    const auto [entry, added] = this->groups.try_emplace(group);
     if (added)
     {
-        entry->second.set_runners(now, this->usable_runners(now, service));
+        entry->second.set_runners(
+            now, this->topology.usable_runners(now, group));
     }
     return entry->second;
 }
 
 void slot_service::answer(
-    const std::string& service,
+    const serving::runner_group& group,
     const std::string& asking,
     const std::vector<serving::slot_verdict>& verdicts)
 {
@@ -104,24 +108,25 @@
     {
         if (verdict.kind == serving::verdict_kind::refused)
         {
-            this->log_refusal(service, verdict);
+            this->log_refusal(group, verdict);
         }
         by_node[verdict.id.node].verdicts.push_back(verdict);
     }
     for (auto& [node, packet] : by_node)
     {
-        packet.service = service;
+        packet.group = group;
         this->send(node, packet);
     }
 }
 
 void slot_service::log_refusal(
-    const std::string& service, const serving::slot_verdict& verdict) const
+    const serving::runner_group& group,
+    const serving::slot_verdict& verdict) const
 {
-    const serving::slot_scheduler& scheduler = this->services.at(service);
+    const serving::slot_scheduler& scheduler = this->groups.at(group);
     log_event(
         event::slot_refused,
-        {{"service", service},
+        {{"group", to_text(group)},
          {"node", verdict.id.node},
          {"slot", verdict.id.number},
          {"online", scheduler.slots_in_use(serving::work_kind::online)},
@@ -131,64 +136,126 @@
          {"retry_after_ms", verdict.retry_after.count() / 1000}});
 }
 
-void slot_service::on_packet(const wire::slot_packet& packet)
+void slot_service::on_packet(
+    const std::string& sender, const wire::slot_packet& packet)
 {
     const time_point now = read_monotonic_clock();
     this->refresh_runners(now, false);
     if (const auto* request = std::get_if<serving::slot_request>(&packet))
     {
-        this->answer(
-            request->service,
-            request->id.node,
-            this->scheduler_of(now, request->service)
-                .on_request(now, *request));
+        this->take(now, *request);
     }
     else if (const auto* release = std::get_if<wire::slot_release>(&packet))
     {
-        serving::slot_scheduler& scheduler =
-            this->scheduler_of(now, release->service);
-        if (release->outcome == serving::slot_outcome::crashed)
-        {
-            this->answer(
-                release->service,
-                "",
-                scheduler.on_crash(
-                    now, {release->request_digest, release->id}));
-        }
+        this->take(now, *release);
+    }
+    else if (const auto* report = std::get_if<wire::slot_report>(&packet))
+    {
+        this->take(now, *report);
+    }
+    else if (const auto* news = std::get_if<wire::slot_news>(&packet))
+    {
+        this->take(now, sender, *news);
+    }
+}
+
+void slot_service::take(time_point now, const serving::slot_request& request)
+{
+    this->answer(
+        request.group,
+        request.id.node,
+        this->scheduler_of(now, request.group).on_request(now, request));
+}
+
+void slot_service::take(time_point now, const wire::slot_release& release)
+{
+    serving::slot_scheduler& scheduler = this->scheduler_of(now, release.group);
+    if (release.outcome == serving::slot_outcome::crashed)
+    {
         this->answer(
-            release->service,
+            release.group,
             "",
-            scheduler.on_release(now, release->id, release->outcome));
+            scheduler.on_crash(now, {release.request_digest, release.id}));
     }
-    else if (const auto* report = std::get_if<wire::slot_report>(&packet))
+    this->answer(
+        release.group,
+        "",
+        scheduler.on_release(now, release.id, release.outcome));
+}
+
+void slot_service::take(time_point now, const wire::slot_report& report)
+{
+    for (const serving::leaving_runner& runner : report.leaving)
+    {
+        this->knowledge.runners().on_leaving(runner.id, runner.born_ms);
+    }
+    this->refresh_runners(now, false);
+    serving::slot_scheduler& scheduler = this->scheduler_of(now, report.group);
+    for (const serving::crashed_run& run : report.crashed)
+    {
+        this->answer(report.group, "", scheduler.on_crash(now, run));
+    }
+    this->answer(
+        report.group,
+        report.node,
+        scheduler.on_report(
+            now, report.node, report.incarnation, report.held, report.waiting));
+}
+
+void slot_service::take(
+    time_point now, const std::string& sender, const wire::slot_news& news)
+{
+    this->coordinators[news.digest.group] = {sender, now};
+    // A group that no node uses here has another coordinator.
+    if (const auto found = this->groups.find(news.receiver);
+        found != this->groups.end())
+    {
+        this->answer(
+            news.receiver, "", found->second.on_digest(now, news.digest));
+    }
+}
+
+std::string slot_service::choose_receiver(
+    time_point now, const serving::runner_group& group)
+{
+    const auto known = this->coordinators.find(group);
+    if (known != this->coordinators.end() &&
+        now - known->second.heard <= duration(news_lifetime))
+    {
+        return known->second.node;
+    }
+    const std::vector<std::string>& order = this->topology.coordinators(group);
+    return order.empty() ? std::string() : order.front();
+}
+
+void slot_service::tell_neighbours(time_point now)
+{
+    for (auto& [group, scheduler] : this->groups)
     {
-        for (const serving::leaving_runner& runner : report->leaving)
+        if (!scheduler.is_in_use())
         {
-            this->knowledge.runners().on_leaving(runner.id, runner.born_ms);
+            continue;
         }
-        this->refresh_runners(now, false);
-        serving::slot_scheduler& scheduler =
-            this->scheduler_of(now, report->service);
-        for (const serving::crashed_run& run : report->crashed)
+        wire::slot_news news;
+        news.digest = scheduler.make_digest(now);
+        news.digest.group = group;
+        for (const serving::runner_group& other :
+             this->topology.division(group.service).groups())
         {
-            this->answer(report->service, "", scheduler.on_crash(now, run));
+            const std::string node = this->choose_receiver(now, other);
+            if (other != group && !node.empty())
+            {
+                news.receiver = other;
+                this->send(node, news);
+            }
         }
-        this->answer(
-            report->service,
-            report->node,
-            scheduler.on_report(
-                now,
-                report->node,
-                report->incarnation,
-                report->held,
-                report->waiting));
     }
 }
 
-const std::map<std::string, serving::slot_scheduler>&
+const std::map<serving::runner_group, serving::slot_scheduler>&
 slot_service::schedulers() const
 {
-    return this->services;
+    return this->groups;
 }
 
 } // namespace chicory::node
--- a/servers/node/slot_service.hpp
+++ b/servers/node/slot_service.hpp
@@ -3,6 +3,7 @@
 
 #include "policy/serving/serving.hpp"
 #include "servers/node/fleet_knowledge.hpp"
+#include "servers/node/slot_topology.hpp"
 #include "wire/wire.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -16,8 +17,9 @@
 namespace chicory::node
 {
 
-/// Coordinates the slots of services for all nodes that ask: binds a
-/// `slot_scheduler` for each service to datagrams and to the runners known.
+/// Coordinates the slots of groups of runners for all nodes that ask: binds a
+/// `slot_scheduler` for each group to datagrams and to the runners known, and
+/// tells the coordinators of a service's groups of each other.
 class slot_service
 {
 public:
@@ -26,34 +28,57 @@
         std::function<void(const std::string& node, const wire::slot_packet&)>;
 
     slot_service(
-        boost::asio::io_context& io, fleet_knowledge& known, send_hook hook);
+        boost::asio::io_context& io,
+        fleet_knowledge& known,
+        slot_topology& its_topology,
+        std::string vm_id,
+        send_hook hook);
 
     void start();
 
     /// Takes a packet of a node.
-    void on_packet(const wire::slot_packet& packet);
+    void on_packet(const std::string& sender, const wire::slot_packet& packet);
 
-    /// Returns the scheduler's counts for metrics, by service.
-    const std::map<std::string, serving::slot_scheduler>& schedulers() const;
+    /// Returns the schedulers' counts for metrics.
+    const std::map<serving::runner_group, serving::slot_scheduler>&
+    schedulers() const;
 
 private:
+    /// Node that coordinates another group, as its last news told.
+    struct known_coordinator
+    {
+        std::string node;
+        time_point heard;
+    };
+
     void tick();
     void refresh_runners(time_point now, bool always);
     serving::slot_scheduler&
-    scheduler_of(time_point now, const std::string& service);
+    scheduler_of(time_point now, const serving::runner_group& group);
     void answer(
-        const std::string& service,
+        const serving::runner_group& group,
         const std::string& asking,
         const std::vector<serving::slot_verdict>& verdicts);
     void log_refusal(
-        const std::string& service, const serving::slot_verdict& verdict) const;
-    std::vector<serving::slot_runner>
-    usable_runners(time_point now, const std::string& service);
+        const serving::runner_group& group,
+        const serving::slot_verdict& verdict) const;
+    void take(time_point now, const serving::slot_request& request);
+    void take(time_point now, const wire::slot_release& release);
+    void take(time_point now, const wire::slot_report& report);
+    void take(
+        time_point now, const std::string& sender, const wire::slot_news& news);
+    void tell_neighbours(time_point now);
+    std::string
+    choose_receiver(time_point now, const serving::runner_group& group);
 
     boost::asio::steady_timer timer;
     fleet_knowledge& knowledge;
+    slot_topology& topology;
+    std::string self;
     send_hook send;
-    std::map<std::string, serving::slot_scheduler> services;
+    std::map<serving::runner_group, serving::slot_scheduler> groups;
+    std::map<serving::runner_group, known_coordinator> coordinators;
+    time_point next_news;
     std::uint64_t seen_runners = 0;
     time_point next_refresh;
 };
--- /dev/null
+++ b/servers/node/slot_topology.cpp
@@ -0,0 +1,76 @@
+#include "servers/node/slot_topology.hpp"
+
+#include <utility>
+
+namespace chicory::node
+{
+
+slot_topology::slot_topology(
+    fleet_knowledge& known, std::string vm_id, std::string zone, hooks wanted)
+    : knowledge(known), self(std::move(vm_id)), own_zone(std::move(zone)),
+      io_hooks(std::move(wanted))
+{
+}
+
+const serving::runner_division&
+slot_topology::division(const std::string& service)
+{
+    const std::uint64_t version = this->knowledge.runners().version();
+    if (version != this->seen_runners)
+    {
+        this->divisions.clear();
+        this->seen_runners = version;
+    }
+    if (const auto found = this->divisions.find(service);
+        found != this->divisions.end())
+    {
+        return found->second;
+    }
+    return this->divisions
+        .try_emplace(
+            service, service, this->knowledge.runners().count_by_zone(service))
+        .first->second;
+}
+
+serving::runner_group slot_topology::home_of(const std::string& service)
+{
+    return this->division(service).home_of(this->self, this->own_zone);
+}
+
+const std::vector<std::string>&
+slot_topology::coordinators(const serving::runner_group& group)
+{
+    const std::uint64_t version = this->io_hooks.nodes_version();
+    if (version != this->seen_nodes || this->nodes.empty())
+    {
+        this->nodes = this->io_hooks.live_nodes();
+        this->orders.clear();
+        this->seen_nodes = version;
+    }
+    const auto [entry, added] = this->orders.try_emplace(group);
+    if (added)
+    {
+        entry->second = serving::order_coordinators(group, this->nodes);
+    }
+    return entry->second;
+}
+
+std::vector<serving::slot_runner> slot_topology::usable_runners(
+    time_point now, const serving::runner_group& group)
+{
+    const serving::runner_division& groups = this->division(group.service);
+    std::vector<serving::slot_runner> runners;
+    for (const serving::runner_entry* entry :
+         this->knowledge.runners().usable(now, group.service))
+    {
+        // A node that sees fewer runners may ask for all of them as one group.
+        if (group.zone.empty() ||
+            groups.group_of(entry->id, entry->zone) == group)
+        {
+            runners.push_back({entry->id, entry->zone, entry->slots});
+        }
+    }
+    return runners;
+}
+
+} // namespace chicory::node
--- /dev/null
+++ b/tests/policy/serving/runner_group_test.cpp
@@ -0,0 +1,137 @@
+#include "policy/serving/serving.hpp"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <map>
+#include <set>
+
+namespace chicory::serving
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const time_point start = time_point() + 1h;
+
+std::string name_of_runner(std::size_t index)
+{
+    return "r" + std::to_string(index);
+}
+
+TEST(runner_division_test, few_runners_stay_in_one_group)
+{
+    const runner_division division("chat", {{"z1", 30}, {"z2", 34}});
+    const runner_group whole{"chat", "", 0};
+    EXPECT_EQ(division.groups(), std::vector<runner_group>{whole});
+    EXPECT_EQ(division.group_of("r1", "z1"), whole);
+    EXPECT_EQ(division.home_of("n1", "z2"), whole);
+}
+
+TEST(runner_division_test, no_runners_are_one_group_too)
+{
+    const runner_division division("chat", {});
+    EXPECT_EQ(division.home_of("n1", "z1"), runner_group({"chat", "", 0}));
+}
+
+// Load pattern: more runners than one coordinator can place at.
+TEST(runner_division_test, many_runners_are_divided_by_zone_and_in_parts)
+{
+    const runner_division division("chat", {{"z1", 120}, {"z2", 20}});
+    EXPECT_EQ(division.groups().size(), 5U);
+    std::map<runner_group, std::size_t> sizes;
+    for (std::size_t index = 0; index < 120; ++index)
+    {
+        const runner_group group =
+            division.group_of(name_of_runner(index), "z1");
+        EXPECT_EQ(group.zone, "z1");
+        ++sizes[group];
+    }
+    EXPECT_EQ(sizes.size(), 4U);
+    for (const auto& [group, size] : sizes)
+    {
+        EXPECT_LE(size, 48U) << to_text(group);
+    }
+    EXPECT_EQ(division.group_of("r1", "z2"), runner_group({"chat", "z2", 0}));
+}
+
+TEST(runner_division_test, one_part_more_moves_few_runners)
+{
+    const runner_division before("chat", {{"z1", 96}});
+    const runner_division after("chat", {{"z1", 97}});
+    std::size_t moved = 0;
+    for (std::size_t index = 0; index < 96; ++index)
+    {
+        const std::string runner = name_of_runner(index);
+        moved += before.group_of(runner, "z1") == after.group_of(runner, "z1")
+                     ? 0
+                     : 1;
+    }
+    EXPECT_LT(moved, 48U);
+}
+
+// Load pattern: a zone that lost all its runners.
+TEST(runner_division_test, nodes_of_a_zone_without_runners_ask_one_zone)
+{
+    const runner_division division("chat", {{"z1", 40}, {"z2", 40}});
+    std::set<std::string> zones;
+    for (std::size_t index = 0; index < 20; ++index)
+    {
+        zones.insert(division.home_of(name_of_runner(index), "z9").zone);
+    }
+    EXPECT_EQ(zones.size(), 1U);
+}
+
+group_digest
+make_digest(const std::string& zone, std::int64_t online, std::int64_t batch)
+{
+    return {{"chat", zone, 0}, online, batch, {}};
+}
+
+TEST(group_overflow_test, sends_no_more_than_a_group_has_room_for)
+{
+    group_overflow overflow;
+    overflow.on_digest(start, make_digest("z2", 3, 1));
+    for (std::uint64_t number = 0; number < 3; ++number)
+    {
+        EXPECT_TRUE(
+            overflow.take_room(start, work_kind::online, {"n", 1, number}));
+    }
+    EXPECT_FALSE(overflow.take_room(start, work_kind::online, {"n", 1, 9}));
+    EXPECT_FALSE(overflow.take_room(start, work_kind::batch, {"n", 1, 9}));
+}
+
+TEST(group_overflow_test, an_old_digest_says_nothing)
+{
+    group_overflow overflow;
+    overflow.on_digest(start, make_digest("z2", 3, 3));
+    EXPECT_TRUE(overflow.has_room(start + 300ms, work_kind::batch));
+    EXPECT_FALSE(overflow.has_room(start + 600ms, work_kind::batch));
+    EXPECT_FALSE(
+        overflow.take_room(start + 600ms, work_kind::online, {"n", 1, 1}));
+}
+
+// Load pattern: several groups overflow at once and hear the same digests.
+TEST(group_overflow_test, spreads_in_proportion_to_the_room)
+{
+    group_overflow overflow;
+    overflow.on_digest(start, make_digest("z2", 300, 0));
+    overflow.on_digest(start, make_digest("z3", 100, 0));
+    overflow.on_digest(start, make_digest("z4", -50, 0));
+    std::map<std::string, int> sent;
+    for (std::uint64_t number = 0; number < 200; ++number)
+    {
+        ++sent[overflow.take_room(start, work_kind::online, {"n", 1, number})
+                   .value()
+                   .zone];
+    }
+    EXPECT_EQ(sent.count("z4"), 0U);
+    EXPECT_GT(sent["z3"], 25);
+    EXPECT_GT(sent["z2"], 100);
+}
+
+} // namespace
+
+} // namespace chicory::serving
--- a/tests/policy/serving/serving_test.cpp
+++ b/tests/policy/serving/serving_test.cpp
@@ -171,30 +171,51 @@
     std::vector<live_node> nodes;
     for (int index = 0; index < 40; ++index)
     {
-        nodes.push_back({"small-" + std::to_string(index), 1, 160});
+        nodes.push_back({"small-" + std::to_string(index), 1, 160, "z1"});
     }
-    nodes.push_back({"large-1", 1, 512});
-    nodes.push_back({"large-2", 1, 514});
-    const std::vector<std::string> order = order_coordinators("chat", nodes);
+    nodes.push_back({"large-1", 1, 512, "z1"});
+    nodes.push_back({"large-2", 1, 514, "z2"});
+    const std::vector<std::string> order =
+        order_coordinators({"chat", "", 0}, nodes);
     EXPECT_THAT(order.at(0), ::testing::StartsWith("large"));
     EXPECT_THAT(order.at(1), ::testing::StartsWith("large"));
     EXPECT_THAT(order.at(2), ::testing::StartsWith("small"));
     std::vector<live_node> shuffled(nodes.rbegin(), nodes.rend());
-    EXPECT_EQ(order, order_coordinators("chat", shuffled));
+    EXPECT_EQ(order, order_coordinators({"chat", "", 0}, shuffled));
 }
 
 TEST(coordinator_choice_test, vms_of_nearly_one_size_share_the_services)
 {
-    const std::vector<live_node> nodes = {{"a", 1, 289}, {"b", 1, 290}};
+    const std::vector<live_node> nodes = {
+        {"a", 1, 289, "z1"}, {"b", 1, 290, "z2"}};
     std::set<std::string> first;
     for (int index = 0; index < 40; ++index)
     {
         first.insert(
-            order_coordinators("chat-" + std::to_string(index), nodes).front());
+            order_coordinators({"chat-" + std::to_string(index), "", 0}, nodes)
+                .front());
     }
     EXPECT_EQ(first.size(), 2);
 }
 
+TEST(coordinator_choice_test, a_group_is_coordinated_in_its_zone)
+{
+    const std::vector<live_node> nodes = {
+        {"near-small", 1, 160, "z1"},
+        {"near-1", 1, 512, "z1"},
+        {"near-2", 1, 512, "z1"},
+        {"far", 1, 512, "z2"}};
+    for (std::uint32_t part = 0; part < 20; ++part)
+    {
+        const std::vector<std::string> order =
+            order_coordinators({"chat", "z1", part}, nodes);
+        EXPECT_THAT(order.at(0), ::testing::StartsWith("near-"));
+        EXPECT_THAT(order.at(1), ::testing::StartsWith("near-"));
+        EXPECT_EQ(order.at(2), "far");
+        EXPECT_EQ(order.at(3), "near-small");
+    }
+}
+
 TEST(wait_estimate_test, the_next_run_to_end_frees_the_first_place)
 {
     const time_point now = time_point() + 1h;
--- a/tests/policy/serving/slot_scheduler_test.cpp
+++ b/tests/policy/serving/slot_scheduler_test.cpp
@@ -23,7 +23,7 @@
     slot_request request;
     request.id = {node, 1, number};
     request.kind = work_kind::online;
-    request.service = "chat";
+    request.group.service = "chat";
     request.zone = "z1";
     request.on_time_left = 300ms;
     request.time_left = 5s;
@@ -337,7 +337,7 @@
     this->give_runners(1, 1);
     held_slot held;
     held.id = make_online(7).id;
-    held.service = "chat";
+    held.group.service = "chat";
     held.runner = "r0";
     held.age = 500ms;
     this->scheduler.on_report(start, "a", 1, {held}, {});
@@ -415,7 +415,7 @@
     {
         held_slot held;
         held.id = {node, 1, number};
-        held.service = "chat";
+        held.group.service = "chat";
         held.runner = "r0";
         held.age = 2s;
         held.silence = silence;
--- a/tests/wire/slot_packet_fuzz_test.cpp
+++ b/tests/wire/slot_packet_fuzz_test.cpp
@@ -16,31 +16,41 @@
 {
     serving::slot_request request;
     request.id = {"vm-1", 7, 42};
-    request.service = "chat";
+    request.group = {"chat", "z1", 2};
+    request.redirected = true;
     request.zone = "z1";
     request.on_time_left = std::chrono::milliseconds(300);
     request.excluded = {"i-1", "i-2"};
     serving::held_slot held;
     held.id = {"vm-1", 7, 41};
-    held.service = "chat";
+    held.group = {"chat", "z1", 2};
     held.runner = "i-3";
     held.silence = std::chrono::milliseconds(420);
     slot_report report{
-        "chat",
+        {"chat", "z1", 2},
         "vm-1",
         7,
         {held},
         {request},
         {{99, {"vm-1", 7, 40}}},
         {{"i-4", 1'700'000'000'000}}};
-    slot_release release{"chat", request.id, serving::slot_outcome::broken, 99};
+    slot_release release{
+        {"chat", "", 0}, request.id, serving::slot_outcome::broken, 99};
     slot_verdicts verdicts{
-        "chat",
+        {"chat", "z1", 2},
         {{request.id,
           serving::verdict_kind::refused,
           "",
-          std::chrono::milliseconds(250)}}};
-    return {request, report, release, verdicts};
+          std::chrono::milliseconds(250),
+          {}},
+         {request.id,
+          serving::verdict_kind::redirected,
+          "",
+          {},
+          {"chat", "z2", 0}}}};
+    slot_news news{
+        {"chat", "z2", 0}, {{"chat", "z1", 2}, 5, -3, {{99, {"vm-1", 7, 40}}}}};
+    return {request, report, release, verdicts, news};
 }
 
 } // namespace
--- a/wire/slot_packet.cpp
+++ b/wire/slot_packet.cpp
@@ -9,6 +9,12 @@
 namespace chicory::serving
 {
 
+template <class Archive>
+void serialize(Archive& archive, runner_group& value)
+{
+    archive(value.service, value.zone, value.part);
+}
+
 template <class Archive>
 void serialize(Archive& archive, slot_id& value)
 {
@@ -27,7 +33,7 @@
 template <class Archive>
 void serialize(Archive& archive, slot_request& value)
 {
-    archive(value.id, value.kind, value.service, value.zone);
+    archive(value.id, value.kind, value.group, value.redirected, value.zone);
     save_duration(archive, value.on_time_left);
     save_duration(archive, value.time_left);
     save_duration(archive, value.work_left);
@@ -49,7 +55,7 @@
 template <class Archive>
 void serialize(Archive& archive, held_slot& value)
 {
-    archive(value.id, value.kind, value.service, value.runner);
+    archive(value.id, value.kind, value.group, value.runner);
     save_duration(archive, value.age);
     save_duration(archive, value.silence);
 }
@@ -59,6 +65,13 @@
 {
     archive(value.id, value.kind, value.runner);
     save_duration(archive, value.retry_after);
+    archive(value.elsewhere);
+}
+
+template <class Archive>
+void serialize(Archive& archive, group_digest& value)
+{
+    archive(value.group, value.online_room, value.batch_room, value.crashed);
 }
 
 } // namespace chicory::serving
@@ -69,14 +82,14 @@
 template <class Archive>
 void serialize(Archive& archive, slot_release& value)
 {
-    archive(value.service, value.id, value.outcome, value.request_digest);
+    archive(value.group, value.id, value.outcome, value.request_digest);
 }
 
 template <class Archive>
 void serialize(Archive& archive, slot_report& value)
 {
     archive(
-        value.service,
+        value.group,
         value.node,
         value.incarnation,
         value.held,
@@ -88,7 +101,13 @@
 template <class Archive>
 void serialize(Archive& archive, slot_verdicts& value)
 {
-    archive(value.service, value.verdicts);
+    archive(value.group, value.verdicts);
+}
+
+template <class Archive>
+void serialize(Archive& archive, slot_news& value)
+{
+    archive(value.receiver, value.digest);
 }
 
 std::string encode_slot_packet(const slot_packet& value)
--- a/wire/slot_packet.hpp
+++ b/wire/slot_packet.hpp
@@ -14,17 +14,17 @@
 /// Tells that a slot or a request for one is needed no more.
 struct slot_release
 {
-    std::string service;
+    serving::runner_group group;
     serving::slot_id id;
     serving::slot_outcome outcome = serving::slot_outcome::completed;
     /// Digest of the request that had the slot; zero for an item.
     std::uint64_t request_digest = 0;
 };
 
-/// All slots of a service that a node uses, and all its requests that wait.
+/// All slots of a group that a node uses, and all its requests that wait.
 struct slot_report
 {
-    std::string service;
+    serving::runner_group group;
     std::string node;
     std::uint64_t incarnation = 0;
     std::vector<serving::held_slot> held;
@@ -38,13 +38,26 @@
 /// Answer to a report, and to a request together with its verdicts.
 struct slot_verdicts
 {
-    std::string service;
+    serving::runner_group group;
     std::vector<serving::slot_verdict> verdicts;
 };
 
-/// A datagram between a node and the coordinator of a service's slots.
-using slot_packet = std::
-    variant<serving::slot_request, slot_release, slot_report, slot_verdicts>;
+/// Tells the coordinator of a group how another group of the service stands.
+struct slot_news
+{
+    /// Group that is told.
+    serving::runner_group receiver;
+    serving::group_digest digest;
+};
+
+/// A datagram between a node and the coordinator of a group's slots, or between
+/// two coordinators.
+using slot_packet = std::variant<
+    serving::slot_request,
+    slot_release,
+    slot_report,
+    slot_verdicts,
+    slot_news>;
 
 /// Encodes a packet in little-endian binary form.
 std::string encode_slot_packet(const slot_packet& value);
