Membership: Tell deaths first, and pass on nothing that all read in the store

Change: what is not alive is told first; what was read from the nodes' records is not passed on, for all nodes read them. Tests: a_death_is_told_before_all_who_are_there and what_all_read_in_a_list_is_no_news.

--- a/policy/membership/gossip.cpp
+++ b/policy/membership/gossip.cpp
@@ -62,7 +62,7 @@
     }
     for (const rumor& heard : message.rumors)
     {
-        this->take(heard, now);
+        this->take(heard, now, rumor_source::member);
     }
     this->take_return(message.sender, now);
     this->revisions.hear(message.sender, message.revision);
@@ -86,9 +86,9 @@
     return out;
 }
 
-void gossip::on_rumor(time_point now, const rumor& heard)
+void gossip::on_rumor(time_point now, const rumor& heard, rumor_source source)
 {
-    this->take(heard, now);
+    this->take(heard, now, source);
 }
 
 void gossip::set_revision(std::int64_t revision)
@@ -236,7 +236,7 @@
     }
 }
 
-void gossip::take(const rumor& heard, time_point now)
+void gossip::take(const rumor& heard, time_point now, rumor_source source)
 {
     if (heard.id == this->self_id)
     {
@@ -244,7 +244,9 @@
         return;
     }
     if (this->members.apply(
-            {heard.id, this->partition.soften(heard), heard.details}, now))
+            {heard.id, this->partition.soften(heard), heard.details},
+            now,
+            source))
     {
         this->partition.judge(now);
         this->probes.want_no_more(heard.id);
--- a/policy/membership/gossip.hpp
+++ b/policy/membership/gossip.hpp
@@ -40,8 +40,12 @@
     std::vector<outgoing_gossip>
     on_message(time_point now, const gossip_message& message);
 
-    /// Takes a word from another source: VM list, runner or refusal.
-    void on_rumor(time_point now, const rumor& heard);
+    /// Takes a word from another source: VM list, runner or refusal. One from a
+    /// list that all members read is not passed on.
+    void on_rumor(
+        time_point now,
+        const rumor& heard,
+        rumor_source source = rumor_source::member);
 
     /// Sets the revision in force on this node.
     void set_revision(std::int64_t revision);
@@ -77,7 +81,7 @@
     void check_suspects(datagrams& out, time_point now);
     void spread_news(datagrams& out, time_point now);
     void forgive_pause(time_point now);
-    void take(const rumor& heard, time_point now);
+    void take(const rumor& heard, time_point now, rumor_source source);
     void take_return(const std::string& sender, time_point now);
     void take_answer(const std::string& sender);
     void contradict(const rumor& heard, time_point now);
--- a/policy/membership/member_table.cpp
+++ b/policy/membership/member_table.cpp
@@ -23,7 +23,8 @@
 {
 }
 
-bool member_table::apply(const rumor& heard, time_point now)
+bool member_table::apply(
+    const rumor& heard, time_point now, rumor_source source)
 {
     const auto found = this->members.find(heard.id);
     if (found == this->members.end())
@@ -38,7 +39,11 @@
         record.details.incarnation = heard.what.incarnation;
         this->count(record.details, heard.what.state, 1);
         this->members.emplace(heard.id, std::move(record));
-        this->add_news(heard.id, true);
+        ++this->changes;
+        if (source == rumor_source::member)
+        {
+            this->add_news(heard.id, true);
+        }
         return true;
     }
     member_record& record = found->second;
@@ -59,7 +64,11 @@
     record.details.incarnation = heard.what.incarnation;
     record.since = now;
     this->count(record.details, record.what.state, 1);
-    this->add_news(heard.id, moved);
+    ++this->changes;
+    if (source == rumor_source::member)
+    {
+        this->add_news(heard.id, moved);
+    }
     return true;
 }
 
@@ -78,23 +87,25 @@
 
 void member_table::add_news(const std::string& id, bool with_details)
 {
-    ++this->changes;
-    if (!this->is_told(this->members.at(id)))
+    const member_record& record = this->members.at(id);
+    if (!this->is_told(record))
     {
         this->drop_news(id);
         return;
     }
     news_item& item = this->news[id];
-    this->order.erase(this->make_key(item.told, id));
+    this->order.erase(this->make_key(item, id));
     item.with_details = item.with_details || with_details;
     item.told = 0;
-    this->order.insert(this->make_key(0, id));
+    item.is_alive = record.what.state == vm_state::alive;
+    this->order.insert(this->make_key(item, id));
 }
 
 member_table::news_key
-member_table::make_key(std::size_t told, const std::string& id) const
+member_table::make_key(const news_item& item, const std::string& id) const
 {
-    return {told, hash_bytes(id, this->salt + told), id};
+    return {
+        item.is_alive, item.told, hash_bytes(id, this->salt + item.told), id};
 }
 
 bool member_table::is_told(const member_record& record) const
@@ -111,7 +122,7 @@
     {
         return;
     }
-    this->order.erase(this->make_key(found->second.told, id));
+    this->order.erase(this->make_key(found->second, id));
     this->news.erase(found);
 }
 
@@ -203,7 +214,7 @@
     std::vector<rumor>& list, std::size_t& room, std::size_t limit)
 {
     std::vector<std::string> taken;
-    for (const auto& [told, mixed, id] : this->order)
+    for (const auto& [alive, told, mixed, id] : this->order)
     {
         rumor next = this->make_rumor(id, this->news.at(id).with_details);
         const std::size_t size = encoded_size(next);
@@ -218,20 +229,26 @@
     for (const std::string& id : taken)
     {
         news_item& item = this->news.at(id);
-        this->order.erase(this->make_key(item.told, id));
+        this->order.erase(this->make_key(item, id));
         ++item.told;
         if (item.told >= limit)
         {
             this->news.erase(id);
             continue;
         }
-        this->order.insert(this->make_key(item.told, id));
+        this->order.insert(this->make_key(item, id));
     }
 }
 
 bool member_table::has_news(std::size_t times) const
 {
-    return !this->order.empty() && std::get<0>(*this->order.begin()) < times;
+    const auto is_fresh = [this, times](bool alive)
+    {
+        const auto first = this->order.lower_bound({alive, 0, 0, ""});
+        return first != this->order.end() && std::get<0>(*first) == alive &&
+               std::get<1>(*first) < times;
+    };
+    return is_fresh(false) || is_fresh(true);
 }
 
 void member_table::take_turn(
--- a/policy/membership/member_table.hpp
+++ b/policy/membership/member_table.hpp
@@ -15,6 +15,14 @@
 namespace chicory::membership
 {
 
+/// Where a rumor comes from.
+enum class rumor_source
+{
+    member,
+    /// A list that all members read.
+    list,
+};
+
 /// What a node believes of one VM.
 struct member_record
 {
@@ -33,10 +41,13 @@
     /// nodes with the same news do not all tell the same part of it.
     explicit member_table(std::uint64_t order_salt);
 
-    /// Takes a rumor. Returns true when it changed the table; then the rumor
-    /// is news to pass on. A rumor on an unknown VM without details is not
-    /// taken.
-    bool apply(const rumor& heard, time_point now);
+    /// Takes a rumor. Returns true when it changed the table. A rumor on an
+    /// unknown VM without details is not taken. What changed is news to pass
+    /// on, unless it came from a list that all others read too.
+    bool apply(
+        const rumor& heard,
+        time_point now,
+        rumor_source source = rumor_source::member);
 
     const std::map<std::string, member_record>& records() const;
 
@@ -55,8 +66,10 @@
     /// Returns the rumor on a VM as it would be told now.
     rumor make_rumor(const std::string& id, bool with_details) const;
 
-    /// Adds news to a list up to `room` bytes, the least told first, and
-    /// counts them as told. A rumor told `limit` times is no news any more.
+    /// Adds news to a list up to `room` bytes and counts them as told: what is
+    /// not alive before what is, then the least told first. A rumor told
+    /// `limit` times is no news any more. Answers the load pattern of a fleet
+    /// that starts at once: a death must not wait behind all who are there.
     void
     take_news(std::vector<rumor>& list, std::size_t& room, std::size_t limit);
 
@@ -86,12 +99,14 @@
     {
         std::size_t told = 0;
         bool with_details = false;
+        bool is_alive = false;
     };
 
-    /// Times told, a number that mixes news told equally often, and the VM.
-    using news_key = std::tuple<std::size_t, std::uint64_t, std::string>;
+    /// Whether the VM is alive, times told, a number that mixes news told
+    /// equally often, and the VM.
+    using news_key = std::tuple<bool, std::size_t, std::uint64_t, std::string>;
 
-    news_key make_key(std::size_t told, const std::string& id) const;
+    news_key make_key(const news_item& item, const std::string& id) const;
     bool is_told(const member_record& record) const;
     void drop_news(const std::string& id);
     void add_news(const std::string& id, bool with_details);
@@ -100,7 +115,7 @@
     std::uint64_t salt;
     std::map<std::string, member_record> members;
     std::map<std::string, news_item> news;
-    /// News by the times told.
+    /// News in the order in which they are told.
     std::set<news_key> order;
     std::string turn;
     bool quiet = false;
--- a/servers/fleet/gossip_service.cpp
+++ b/servers/fleet/gossip_service.cpp
@@ -190,9 +190,10 @@
     this->on_change();
 }
 
-void gossip_service::on_rumor(const membership::rumor& heard)
+void gossip_service::on_rumor(
+    const membership::rumor& heard, membership::rumor_source source)
 {
-    this->members.on_rumor(read_monotonic_clock(), heard);
+    this->members.on_rumor(read_monotonic_clock(), heard, source);
     this->report_changes();
 }
 
--- a/servers/fleet/gossip_service.hpp
+++ b/servers/fleet/gossip_service.hpp
@@ -35,7 +35,9 @@
     result<void> start(const net::endpoint& local);
 
     /// Takes a word from another source.
-    void on_rumor(const membership::rumor& heard);
+    void on_rumor(
+        const membership::rumor& heard,
+        membership::rumor_source source = membership::rumor_source::member);
 
     /// Takes the line of the VM list about this VM: where others reach it.
     void on_own_line(const membership::vm& listed);
--- a/servers/node/node_members.cpp
+++ b/servers/node/node_members.cpp
@@ -156,7 +156,8 @@
     {
         return;
     }
-    this->gossip.on_rumor(make_rumor(other));
+    // All nodes read the same records.
+    this->gossip.on_rumor(make_rumor(other), membership::rumor_source::list);
 }
 
 asio::awaitable<bool> node_members::register_self()
