Entry addresses: Name large VMs of a zone before small ones

Cause: a burst falls behind on VMs with an eighth of a core first, and callers were sent to them as often as to those with half a core. Change: within a zone VMs with more memory are named first. Test: names_large_vms_of_the_zone_before_small_ones.

--- a/policy/membership/entrypoint_choice.cpp
+++ b/policy/membership/entrypoint_choice.cpp
@@ -1,6 +1,7 @@
 #include "policy/membership/entrypoint_choice.hpp"
 
 #include <algorithm>
+#include <bit>
 #include <tuple>
 
 namespace chicory::membership
@@ -9,10 +10,12 @@
 namespace
 {
 
-/// Orders candidates: nearer first, then by the caller's own hash.
+/// Orders candidates: nearer first, then larger, then by the caller's own hash.
 struct candidate
 {
     int distance = 0;
+    /// Sizes within a power of two count as equal.
+    int size = 0;
     std::uint64_t mixed = 0;
     const vm* entry = nullptr;
 };
@@ -43,6 +46,7 @@
         {
             candidates.push_back(
                 {find_distance(entry, region, zone),
+                 static_cast<int>(std::bit_width(entry.memory_mb)),
                  hash_bytes(entry.id, hash_bytes(caller)),
                  &entry});
         }
@@ -52,8 +56,10 @@
         candidates.end(),
         [](const candidate& left, const candidate& right)
         {
-            return std::tie(left.distance, left.mixed, left.entry->id) <
-                   std::tie(right.distance, right.mixed, right.entry->id);
+            return std::tie(
+                       left.distance, right.size, left.mixed, left.entry->id) <
+                   std::tie(
+                       right.distance, left.size, right.mixed, right.entry->id);
         });
     return candidates;
 }
--- a/policy/membership/entrypoint_choice.hpp
+++ b/policy/membership/entrypoint_choice.hpp
@@ -39,9 +39,11 @@
 };
 
 /// Chooses the entry VMs that a caller should use: those of the preferred
-/// availability zone first, then of its region, then any; within these by
+/// availability zone first, then of its region, then any; within these those
+/// with more memory, which have more of a processor too, and then by
 /// rendezvous hashing of the caller's name, which spreads callers evenly and
-/// moves few of them when a VM comes or goes. The last address is of another
+/// moves few of them when a VM comes or goes. Answers the load pattern of a
+/// burst that small VMs fall behind first. The last address is of another
 /// zone where there is one, so that the answer outlives the loss of a zone.
 /// VMs that are leaving are never named; suspects only when nothing else is
 /// left.
--- a/tests/policy/membership/vm_tracker_test.cpp
+++ b/tests/policy/membership/vm_tracker_test.cpp
@@ -164,6 +164,35 @@
     }
 }
 
+// Load pattern: a burst before a zone of few large and many small VMs.
+TEST(entrypoint_choice, names_large_vms_of_the_zone_before_small_ones)
+{
+    fleet_view view;
+    for (int index = 0; index < 20; ++index)
+    {
+        vm entry = make_entry(std::to_string(index), "wien");
+        entry.memory_mb = index < 3 ? 512 : 160;
+        view.vms.push_back(entry);
+    }
+    vm far = make_entry("20", "krems");
+    far.memory_mb = 512;
+    view.vms.push_back(far);
+    entrypoint_settings settings;
+    settings.count = 5;
+    for (int caller = 0; caller < 50; ++caller)
+    {
+        const entrypoint_answer answer = choose_entrypoints(
+            view, "at-ost", "wien", std::to_string(caller), settings);
+        ASSERT_EQ(answer.addresses.size(), 5U);
+        for (std::size_t place = 0; place < 3; ++place)
+        {
+            EXPECT_LT(std::stoi(answer.addresses[place].vm_id), 3);
+        }
+        EXPECT_EQ(answer.addresses[3].zone, "wien");
+        EXPECT_EQ(answer.addresses[4].vm_id, "20");
+    }
+}
+
 TEST(entrypoint_choice, leaves_out_leaving_and_suspect_vms)
 {
     fleet_view view = make_view();
