Slot scheduler: Begin two copies of an unproven request at a time

Cause: three copies of a crashing request that came at once through three nodes cost three runners, for each began before the first crash was known. Change: two copies begin; a further one waits 150 ms, within which a crash shows, or until one was completed, after which copies are not held. Tests: copies_that_come_at_once_crash_two_runners, and for callers who ask the same in good faith sound_copies_wait_a_moment_and_then_no_more.

--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -144,6 +144,11 @@
         this->runners.end_run(found->second.runner);
     }
     this->batch_runs.erase(id);
+    if (const auto count = this->copies.find(found->second.request_digest);
+        count != this->copies.end() && --count->second == 0)
+    {
+        this->copies.erase(count);
+    }
     this->running.erase(found);
 }
 
@@ -217,6 +222,10 @@
         return;
     }
     this->crashes.lone_run_completed(run.request_digest, now);
+    if (run.request_digest != 0)
+    {
+        this->sound[run.request_digest] = now + this->settings.sound_memory;
+    }
     if (run.kind == work_kind::online)
     {
         update_mean(
@@ -304,6 +313,27 @@
         });
 }
 
+bool slot_scheduler::awaits_first_copies(
+    time_point now, const slot_request& request) const
+{
+    constexpr int most_first_copies = 2;
+    const auto count = this->copies.find(request.request_digest);
+    if (count == this->copies.end() || count->second < most_first_copies ||
+        this->sound.contains(request.request_digest))
+    {
+        return false;
+    }
+    return std::count_if(
+               this->running.begin(),
+               this->running.end(),
+               [&](const auto& item)
+               {
+                   const running_slot& run = item.second;
+                   return run.request_digest == request.request_digest &&
+                          now - run.since < this->settings.crash_watch;
+               }) >= most_first_copies;
+}
+
 bool slot_scheduler::must_run_alone(
     time_point now, const slot_request& request) const
 {
@@ -452,6 +482,10 @@
     this->queue.erase(found);
     this->add_running(id, kind, runner, now);
     this->running.at(id).request_digest = digest;
+    if (digest != 0)
+    {
+        ++this->copies[digest];
+    }
     if (kind == work_kind::batch)
     {
         this->running.at(id).due = due;
@@ -510,6 +544,10 @@
         {
             continue;
         }
+        if (this->awaits_first_copies(now, request))
+        {
+            continue;
+        }
         if (!(request.repeatable ? repeatable_may_find : others_may_find))
         {
             continue;
@@ -619,7 +657,8 @@
     {
         const slot_request& request = this->queue.at(*id).request;
         if (has_room && !request.redirected &&
-            !this->must_run_alone(now, request))
+            !this->must_run_alone(now, request) &&
+            !this->awaits_first_copies(now, request))
         {
             has_room = this->redirect(out, now, *id, work_kind::online);
         }
@@ -734,6 +773,11 @@
     {
         const auto found = this->queue.find(*id);
         const waiting_request& waiting = found->second;
+        if (this->awaits_first_copies(now, waiting.request))
+        {
+            // It waits for a moment, not for a slot.
+            continue;
+        }
         const time_point begins =
             now + waits.wait_of(position) + this->settings.first_piece;
         // Who was let wait longer than this is served late rather than sent
@@ -778,12 +822,12 @@
         this->drop_node(node, this->nodes.at(node).incarnation + 1);
         this->nodes.erase(node);
     }
-    std::erase_if(
-        this->refused,
-        [now](const auto& item)
-        {
-            return item.second < now;
-        });
+    const auto is_over = [now](const auto& item)
+    {
+        return item.second < now;
+    };
+    std::erase_if(this->refused, is_over);
+    std::erase_if(this->sound, is_over);
     this->dispatch(out, now);
     this->refuse_late(out, now);
     this->send_guests_back(out, now);
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -42,6 +42,12 @@
     duration return_memory = std::chrono::seconds(10);
     /// Time that a request is remembered after it crashed a runner.
     duration crash_memory = std::chrono::minutes(10);
+    /// A request that crashes its runner does so before its first piece, within
+    /// this time of a run; so long two copies of a request that was never
+    /// completed are all that run.
+    duration crash_watch = std::chrono::milliseconds(150);
+    /// Time for which a request that was completed is known to be sound.
+    duration sound_memory = std::chrono::seconds(10);
     /// A request is refused for being late within this part of the time that
     /// it has to be on time, or not at all.
     std::int64_t decision_share = 4;
@@ -72,7 +78,8 @@
 ///   come back are spread at the rate at which slots come free. Those who came
 ///   back go first and are not refused again.
 /// - Copies of a request that crashes the runners that begin it, sent by many
-///   nodes: after the first crash its copies run one at a time, after the
+///   nodes: two begin at once and further ones wait a moment for what becomes
+///   of them; after the first crash its copies run one at a time, after the
 ///   second none is run.
 /// - More than this group has slots for while other groups have room: what
 ///   would wait is sent there once; see `group_overflow`.
@@ -207,6 +214,8 @@
     void refuse_late(verdicts& out, time_point now);
     bool must_run_alone(time_point now, const slot_request& request) const;
     bool is_running(std::uint64_t request_digest) const;
+    /// Returns whether two copies of the request have only just begun.
+    bool awaits_first_copies(time_point now, const slot_request& request) const;
     wait_estimate estimate_waits(time_point now) const;
     /// `wait` is that of a request behind all that wait.
     duration choose_return(
@@ -218,6 +227,10 @@
     slot_scheduler_settings settings;
     runner_slots runners;
     std::map<slot_id, running_slot> running;
+    /// Number of runs by the digest of their request.
+    std::map<std::uint64_t, int> copies;
+    /// Requests that were completed, and until when they are remembered.
+    std::map<std::uint64_t, time_point> sound;
     /// Batch runs that were not told to leave.
     std::set<slot_id> batch_runs;
     std::map<slot_id, waiting_request> queue;
--- a/tests/policy/serving/slot_scheduler_test.cpp
+++ b/tests/policy/serving/slot_scheduler_test.cpp
@@ -567,6 +567,69 @@
     EXPECT_EQ(this->scheduler.slots_in_use(work_kind::online), 1U);
 }
 
+// Load pattern: copies of a request that crashes its runners come at once
+// through many nodes, before the first crash is known.
+TEST_F(slot_scheduler_test, copies_that_come_at_once_crash_two_runners)
+{
+    this->give_runners(6, 8);
+    std::vector<slot_id> begun;
+    for (std::uint64_t number = 0; number < 5; ++number)
+    {
+        slot_request copy = make_online(number, "n" + std::to_string(number));
+        copy.request_digest = 77;
+        for (const slot_verdict& verdict : of_kind(
+                 this->scheduler.on_request(start, copy),
+                 verdict_kind::granted))
+        {
+            begun.push_back(verdict.id);
+        }
+    }
+    ASSERT_EQ(begun.size(), 2U);
+    std::size_t quarantined = 0;
+    for (const slot_id& id : begun)
+    {
+        quarantined += of_kind(
+                           this->scheduler.on_crash(start + 50ms, {77, id}),
+                           verdict_kind::quarantined)
+                           .size();
+        EXPECT_TRUE(of_kind(
+                        this->scheduler.on_release(
+                            start + 50ms, id, slot_outcome::crashed),
+                        verdict_kind::granted)
+                        .empty());
+    }
+    EXPECT_EQ(quarantined, 3U);
+}
+
+// The same load of callers who ask the same thing in good faith.
+TEST_F(slot_scheduler_test, sound_copies_wait_a_moment_and_then_no_more)
+{
+    this->give_runners(6, 8);
+    std::uint64_t number = 0;
+    const auto ask = [&](time_point now)
+    {
+        slot_request copy = make_online(number, "n" + std::to_string(number));
+        ++number;
+        copy.request_digest = 77;
+        return of_kind(
+            this->scheduler.on_request(now, copy), verdict_kind::granted);
+    };
+    const std::vector<slot_verdict> first = ask(start);
+    ASSERT_EQ(first.size(), 1U);
+    EXPECT_EQ(ask(start).size(), 1U);
+    EXPECT_TRUE(ask(start).empty());
+    EXPECT_EQ(
+        of_kind(this->scheduler.on_tick(start + 160ms), verdict_kind::granted)
+            .size(),
+        1U);
+    this->scheduler.on_release(
+        start + 300ms, first.front().id, slot_outcome::completed);
+    for (int copy = 0; copy < 10; ++copy)
+    {
+        EXPECT_EQ(ask(start + 310ms).size(), 1U);
+    }
+}
+
 } // namespace
 
 } // namespace chicory::serving
