--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -460,6 +460,16 @@
     this->expect_in_results("j1", "text", "text 1\ntext 2\ntext 3\ntext 4");
 }
 
+// Operators saw stalled streams that sent a byte now and then never end.
+TEST_F(node_process_test, an_item_whose_runner_trickles_goes_on)
+{
+    this->start_serving();
+    this->first.trickles = true;
+    ASSERT_EQ(this->submit("j1"), 202);
+    this->wait_for_results("j1", 2);
+    this->expect_in_results("j1", "text", "text 1\ntext 2\ntext 3\ntext 4");
+}
+
 TEST_F(node_process_test, an_item_fails_only_after_its_last_attempt)
 {
     this->start_serving();
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -116,6 +116,18 @@
     }
     co_await exchange.start_stream(std::move(head));
     asio::steady_timer timer(this->context);
+    const bool is_stalled = std::exchange(this->trickles, false);
+    while (is_stalled && !*gone)
+    {
+        timer.expires_after(std::chrono::milliseconds(20));
+        co_await timer.async_wait(as_result);
+        co_await exchange.write_chunk(":");
+    }
+    if (is_stalled)
+    {
+        this->arrivals[index].cut = true;
+        co_return;
+    }
     for (std::int64_t number = this->arrivals[index].after + 1;
          number <= this->events;
          ++number)
--- a/tests/standins/engine_standin.hpp
+++ b/tests/standins/engine_standin.hpp
@@ -47,6 +47,8 @@
     std::chrono::milliseconds event_time{1};
     /// Breaks the stream within the event after this one, once; zero: never.
     std::int64_t break_after = 0;
+    /// Sends bytes that never make an event, until its caller closes, once.
+    bool trickles = false;
     /// Status to answer with in place of a stream; zero for a stream.
     int status = 0;
     /// True to state that a refused request was not run.
