Slots: Tell the room of groups that no node asks, and serve groups that others divide otherwise

A zone whose nodes are gone has runners that no group would use, for only groups in use told their room; and while nodes see different numbers of runners, a group that one of them names had no runners at another. Change: the first coordinator of a group tells its room without being asked; a group that is divided otherwise here is all of its zone. Test: a_group_that_was_divided_otherwise_has_its_zone.

--- a/policy/serving/runner_directory.cpp
+++ b/policy/serving/runner_directory.cpp
@@ -253,6 +253,16 @@
     return found;
 }
 
+std::set<std::string> runner_directory::services() const
+{
+    std::set<std::string> found;
+    for (const auto& [id, known] : this->runners)
+    {
+        found.insert(known.entry.service);
+    }
+    return found;
+}
+
 std::map<std::string, std::size_t>
 runner_directory::count_by_zone(const std::string& service) const
 {
--- a/policy/serving/runner_directory.hpp
+++ b/policy/serving/runner_directory.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -119,6 +120,9 @@
     std::vector<const runner_entry*>
     usable(time_point now, const std::string& service) const;
 
+    /// Returns the services that have runners.
+    std::set<std::string> services() const;
+
     /// Returns how many runners of a service each zone has, usable or not.
     std::map<std::string, std::size_t>
     count_by_zone(const std::string& service) const;
--- a/policy/serving/runner_group.cpp
+++ b/policy/serving/runner_group.cpp
@@ -79,6 +79,22 @@
     return this->choose_part(zone, found->second, runner);
 }
 
+bool runner_division::holds(
+    const runner_group& group,
+    const std::string& runner,
+    const std::string& zone) const
+{
+    if (group.zone.empty())
+    {
+        return true;
+    }
+    const auto found = this->parts_of_zone.find(zone);
+    const bool is_divided_alike =
+        found != this->parts_of_zone.end() && group.part < found->second;
+    return zone == group.zone &&
+           (!is_divided_alike || this->group_of(runner, zone) == group);
+}
+
 runner_group
 runner_division::home_of(const std::string& node, const std::string& zone) const
 {
--- a/policy/serving/runner_group.hpp
+++ b/policy/serving/runner_group.hpp
@@ -64,6 +64,14 @@
     runner_group
     group_of(const std::string& runner, const std::string& zone) const;
 
+    /// Returns whether a runner is in a group that another node named. That
+    /// node may see other runners and divide them otherwise; its group is then
+    /// all of the zone here.
+    bool holds(
+        const runner_group& group,
+        const std::string& runner,
+        const std::string& zone) const;
+
     /// Returns the group that a node asks first: one of its own zone, or where
     /// that has no runner, one that all nodes of the zone agree on.
     runner_group
--- a/servers/node/slot_service.cpp
+++ b/servers/node/slot_service.cpp
@@ -228,11 +228,33 @@
     return order.empty() ? std::string() : order.front();
 }
 
+bool slot_service::is_first(const serving::runner_group& group)
+{
+    const std::vector<std::string>& order = this->topology.coordinators(group);
+    return !order.empty() && order.front() == this->self;
+}
+
+void slot_service::add_own_groups(time_point now)
+{
+    for (const std::string& service : this->knowledge.runners().services())
+    {
+        for (const serving::runner_group& group :
+             this->topology.division(service).groups())
+        {
+            if (this->is_first(group))
+            {
+                this->scheduler_of(now, group);
+            }
+        }
+    }
+}
+
 void slot_service::tell_neighbours(time_point now)
 {
+    this->add_own_groups(now);
     for (auto& [group, scheduler] : this->groups)
     {
-        if (!scheduler.is_in_use())
+        if (!scheduler.is_in_use() && !this->is_first(group))
         {
             continue;
         }
--- a/servers/node/slot_service.hpp
+++ b/servers/node/slot_service.hpp
@@ -67,6 +67,10 @@
     void take(time_point now, const wire::slot_report& report);
     void take(
         time_point now, const std::string& sender, const wire::slot_news& news);
+    bool is_first(const serving::runner_group& group);
+    /// Makes the schedulers of the groups that this node is the first to
+    /// coordinate: where no node asks, the other groups must hear of its room.
+    void add_own_groups(time_point now);
     void tell_neighbours(time_point now);
     std::string
     choose_receiver(time_point now, const serving::runner_group& group);
--- a/servers/node/slot_topology.cpp
+++ b/servers/node/slot_topology.cpp
@@ -63,9 +63,7 @@
     for (const serving::runner_entry* entry :
          this->knowledge.runners().usable(now, group.service))
     {
-        // A node that sees fewer runners may ask for all of them as one group.
-        if (group.zone.empty() ||
-            groups.group_of(entry->id, entry->zone) == group)
+        if (groups.holds(group, entry->id, entry->zone))
         {
             runners.push_back({entry->id, entry->zone, entry->slots});
         }
--- a/tests/policy/serving/runner_group_test.cpp
+++ b/tests/policy/serving/runner_group_test.cpp
@@ -57,6 +57,21 @@
     EXPECT_EQ(division.group_of("r1", "z2"), runner_group({"chat", "z2", 0}));
 }
 
+// Load pattern: a release, in which nodes see more or fewer runners for a
+// moment and so other groups.
+TEST(runner_division_test, a_group_that_was_divided_otherwise_has_its_zone)
+{
+    const runner_division whole("chat", {{"z1", 30}, {"z2", 34}});
+    EXPECT_TRUE(whole.holds({"chat", "z1", 0}, "r1", "z1"));
+    EXPECT_FALSE(whole.holds({"chat", "z1", 0}, "r1", "z2"));
+    const runner_division divided("chat", {{"z1", 96}, {"z2", 34}});
+    EXPECT_TRUE(divided.holds({"chat", "", 0}, "r1", "z1"));
+    EXPECT_TRUE(divided.holds({"chat", "z1", 7}, "r1", "z1"));
+    const runner_group own = divided.group_of("r1", "z1");
+    EXPECT_TRUE(divided.holds(own, "r1", "z1"));
+    EXPECT_FALSE(divided.holds({"chat", "z1", (own.part + 1) % 3}, "r1", "z1"));
+}
+
 TEST(runner_division_test, one_part_more_moves_few_runners)
 {
     const runner_division before("chat", {{"z1", 96}});
