Slots: Let no group of an earlier division live on

The log of one zone shows why: requests that came before the runners were known made one group of the whole service; its coordinator told the groups of the zones that it had room, was sent their overflow, and so was in use and told on. Change: news of groups that are none of the division is neither told nor taken; requests and slots move to the group that took the place of theirs; of two coordinators of a group the one with more nodes is believed. Tests: the_group_of_an_earlier_division_is_none and of_two_coordinators_the_one_with_more_nodes_counts.

--- a/policy/serving/group_overflow.cpp
+++ b/policy/serving/group_overflow.cpp
@@ -12,8 +12,14 @@
 
 void group_overflow::on_digest(time_point now, const group_digest& digest)
 {
+    const auto known = this->neighbours.find(digest.group);
+    if (known != this->neighbours.end() && known->second.nodes > digest.nodes &&
+        now - known->second.heard <= this->settings.lifetime)
+    {
+        return;
+    }
     this->neighbours[digest.group] = {
-        digest.online_room, digest.batch_room, now};
+        digest.nodes, digest.online_room, digest.batch_room, now};
 }
 
 std::int64_t group_overflow::room_of(const neighbour& entry, work_kind kind)
--- a/policy/serving/group_overflow.hpp
+++ b/policy/serving/group_overflow.hpp
@@ -17,6 +17,9 @@
 struct group_digest
 {
     runner_group group;
+    /// Nodes that use the group by this coordinator. Of two that coordinate one
+    /// group for a moment, the one with more knows more of its slots.
+    std::int64_t nodes = 0;
     /// Slots that online requests may take at once: idle ones and those of
     /// items.
     std::int64_t online_room = 0;
@@ -57,6 +60,7 @@
 private:
     struct neighbour
     {
+        std::int64_t nodes = 0;
         std::int64_t online_room = 0;
         std::int64_t batch_room = 0;
         time_point heard;
--- a/policy/serving/runner_group.cpp
+++ b/policy/serving/runner_group.cpp
@@ -50,6 +50,13 @@
     return all;
 }
 
+bool runner_division::has(const runner_group& group) const
+{
+    const auto found = this->parts_of_zone.find(group.zone);
+    return group.service == this->service &&
+           found != this->parts_of_zone.end() && group.part < found->second;
+}
+
 runner_group runner_division::choose_part(
     const std::string& zone, std::uint32_t parts, const std::string& key) const
 {
--- a/policy/serving/runner_group.hpp
+++ b/policy/serving/runner_group.hpp
@@ -60,6 +60,10 @@
 
     std::vector<runner_group> groups() const;
 
+    /// Returns whether this is one of the groups. Groups of an earlier division
+    /// get no new work and pass none on.
+    bool has(const runner_group& group) const;
+
     /// Returns the group of a runner.
     runner_group
     group_of(const std::string& runner, const std::string& zone) const;
--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -695,6 +695,7 @@
 group_digest slot_scheduler::make_digest(time_point now)
 {
     group_digest digest;
+    digest.nodes = static_cast<std::int64_t>(this->nodes.size());
     const std::int64_t idle = this->runners.idle();
     const std::int64_t reserved = this->reserved_slots(now);
     const auto waiting_online =
--- a/servers/node/slot_client.cpp
+++ b/servers/node/slot_client.cpp
@@ -169,6 +169,7 @@
     while (!pending->answered && !wait.withdrawn)
     {
         const time_point now = read_monotonic_clock();
+        this->follow_division(*pending);
         const bool online = pending->wish.kind == serving::work_kind::online;
         if (online && now >= pending->wish.gives_up_at)
         {
@@ -255,6 +256,29 @@
     }
 }
 
+void slot_client::follow_division(pending_wish& pending)
+{
+    serving::slot_request& request = pending.request;
+    if (!this->topology.division(pending.wish.service).has(request.group))
+    {
+        request.group = this->topology.home_of(pending.wish.service);
+        request.redirected = false;
+        this->ask(read_monotonic_clock(), pending);
+    }
+}
+
+void slot_client::follow_division(used_slot& slot)
+{
+    const serving::runner_division& groups =
+        this->topology.division(slot.group.service);
+    const serving::runner_entry* runner =
+        this->knowledge.runners().find(slot.runner);
+    if (runner != nullptr && !groups.has(slot.group))
+    {
+        slot.group = groups.group_of(runner->id, runner->zone);
+    }
+}
+
 void slot_client::note_progress(const serving::slot_id& id)
 {
     if (const auto found = this->used.find(id.number);
@@ -433,8 +457,9 @@
         // A coordinator that was told of slots hears also of their end.
         std::set<serving::runner_group> groups =
             std::exchange(this->reported, {});
-        for (const auto& [number, slot] : this->used)
+        for (auto& [number, slot] : this->used)
         {
+            this->follow_division(slot);
             groups.insert(slot.group);
         }
         for (const auto& [number, pending] : this->wishes)
--- a/servers/node/slot_client.hpp
+++ b/servers/node/slot_client.hpp
@@ -148,6 +148,10 @@
     void settle(pending_wish& pending, slot_answer answer);
     void choose_directly(time_point now, pending_wish& pending);
     void send_release(const wire::slot_release& packet);
+    /// Moves requests and slots of groups that are no more to those that took
+    /// their place.
+    void follow_division(pending_wish& pending);
+    void follow_division(used_slot& slot);
     void report(time_point now, const serving::runner_group& group);
     void take(
         const serving::runner_group& group,
--- a/servers/node/slot_service.cpp
+++ b/servers/node/slot_service.cpp
@@ -205,6 +205,11 @@
 void slot_service::take(
     time_point now, const std::string& sender, const wire::slot_news& news)
 {
+    if (!this->topology.division(news.digest.group.service)
+             .has(news.digest.group))
+    {
+        return;
+    }
     this->coordinators[news.digest.group] = {sender, now};
     // A group that no node uses here has another coordinator.
     if (const auto found = this->groups.find(news.receiver);
@@ -254,7 +259,9 @@
     this->add_own_groups(now);
     for (auto& [group, scheduler] : this->groups)
     {
-        if (!scheduler.is_in_use() && !this->is_first(group))
+        const bool is_current =
+            this->topology.division(group.service).has(group);
+        if (!is_current || (!scheduler.is_in_use() && !this->is_first(group)))
         {
             continue;
         }
--- a/tests/policy/serving/runner_group_test.cpp
+++ b/tests/policy/serving/runner_group_test.cpp
@@ -57,6 +57,21 @@
     EXPECT_EQ(division.group_of("r1", "z2"), runner_group({"chat", "z2", 0}));
 }
 
+// Load pattern: all nodes start at once and take requests before they know the
+// runners; the one group of that moment must not live on beside the others.
+TEST(runner_division_test, the_group_of_an_earlier_division_is_none)
+{
+    const runner_division early("chat", {});
+    const runner_group whole = early.home_of("n1", "z1");
+    EXPECT_TRUE(early.has(whole));
+    const runner_division divided("chat", {{"z1", 96}, {"z2", 34}});
+    EXPECT_FALSE(divided.has(whole));
+    EXPECT_TRUE(divided.has({"chat", "z1", 2}));
+    EXPECT_FALSE(divided.has({"chat", "z1", 3}));
+    EXPECT_FALSE(divided.has({"chat", "z9", 0}));
+    EXPECT_FALSE(divided.has({"other", "z1", 0}));
+}
+
 // Load pattern: a release, in which nodes see more or fewer runners for a
 // moment and so other groups.
 TEST(runner_division_test, a_group_that_was_divided_otherwise_has_its_zone)
@@ -102,7 +117,7 @@
 group_digest
 make_digest(const std::string& zone, std::int64_t online, std::int64_t batch)
 {
-    return {{"chat", zone, 0}, online, batch, {}};
+    return {{"chat", zone, 0}, 4, online, batch, {}};
 }
 
 TEST(group_overflow_test, sends_no_more_than_a_group_has_room_for)
@@ -118,6 +133,21 @@
     EXPECT_FALSE(overflow.take_room(start, work_kind::batch, {"n", 1, 9}));
 }
 
+// Load pattern: all nodes start at once, and for a moment two of them
+// coordinate one group; one of them was asked by few and takes all for idle.
+TEST(group_overflow_test, of_two_coordinators_the_one_with_more_nodes_counts)
+{
+    group_overflow overflow;
+    group_digest few = make_digest("z2", 160, 160);
+    few.nodes = 1;
+    overflow.on_digest(start, make_digest("z2", 0, 0));
+    overflow.on_digest(start + 10ms, few);
+    EXPECT_FALSE(overflow.has_room(start + 10ms, work_kind::online));
+    // The other one fell silent.
+    overflow.on_digest(start + 600ms, few);
+    EXPECT_TRUE(overflow.has_room(start + 600ms, work_kind::online));
+}
+
 TEST(group_overflow_test, an_old_digest_says_nothing)
 {
     group_overflow overflow;
--- a/tests/wire/slot_packet_fuzz_test.cpp
+++ b/tests/wire/slot_packet_fuzz_test.cpp
@@ -49,7 +49,8 @@
           {},
           {"chat", "z2", 0}}}};
     slot_news news{
-        {"chat", "z2", 0}, {{"chat", "z1", 2}, 5, -3, {{99, {"vm-1", 7, 40}}}}};
+        {"chat", "z2", 0},
+        {{"chat", "z1", 2}, 4, 5, -3, {{99, {"vm-1", 7, 40}}}}};
     return {request, report, release, verdicts, news};
 }
 
--- a/wire/slot_packet.cpp
+++ b/wire/slot_packet.cpp
@@ -71,7 +71,12 @@
 template <class Archive>
 void serialize(Archive& archive, group_digest& value)
 {
-    archive(value.group, value.online_room, value.batch_room, value.crashed);
+    archive(
+        value.group,
+        value.nodes,
+        value.online_room,
+        value.batch_room,
+        value.crashed);
 }
 
 } // namespace chicory::serving
