Slot scheduler: Judge the copies of crashing requests in a class of their own

Behaviour as before. With the watch of begun copies set to zero copies_that_come_at_once_crash_two_runners fails, as it would have before the watch.

--- /dev/null
+++ b/policy/serving/crash_guard.cpp
@@ -0,0 +1,133 @@
+#include "policy/serving/crash_guard.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <string>
+
+namespace chicory::serving
+{
+
+namespace
+{
+
+constexpr std::ptrdiff_t most_first_copies = 2;
+/// Crashed runs that other coordinators are told; they go into one datagram.
+constexpr std::size_t most_latest = 16;
+
+} // namespace
+
+crash_guard::crash_guard(crash_guard_settings initial)
+    : settings(initial), crashes(initial.crash_memory)
+{
+}
+
+void crash_guard::on_begin(
+    time_point now, std::uint64_t request_digest, const slot_id& run)
+{
+    if (request_digest != 0)
+    {
+        this->running[request_digest][run] = now;
+    }
+}
+
+void crash_guard::on_end(std::uint64_t request_digest, const slot_id& run)
+{
+    const auto found = this->running.find(request_digest);
+    if (found == this->running.end())
+    {
+        return;
+    }
+    found->second.erase(run);
+    if (found->second.empty())
+    {
+        this->running.erase(found);
+    }
+}
+
+void crash_guard::on_completed(time_point now, std::uint64_t request_digest)
+{
+    if (request_digest != 0)
+    {
+        this->crashes.lone_run_completed(request_digest, now);
+        this->sound[request_digest] = now + this->settings.sound_memory;
+    }
+}
+
+void crash_guard::on_crash(time_point now, const crashed_run& run)
+{
+    if (run.request_digest == 0)
+    {
+        return;
+    }
+    online::suspicion notice;
+    notice.fingerprint = run.request_digest;
+    notice.runner = run.id.node + "/" + std::to_string(run.id.incarnation);
+    notice.incarnation = run.id.number;
+    notice.time_to_live = this->settings.crash_memory;
+    this->crashes.merge(notice, now);
+    if (std::find(this->newest.begin(), this->newest.end(), run) !=
+        this->newest.end())
+    {
+        return;
+    }
+    this->newest.push_back(run);
+    if (this->newest.size() > most_latest)
+    {
+        this->newest.pop_front();
+    }
+}
+
+void crash_guard::on_tick(time_point now)
+{
+    std::erase_if(
+        this->sound,
+        [now](const auto& item)
+        {
+            return item.second < now;
+        });
+}
+
+bool crash_guard::is_quarantined(
+    time_point now, std::uint64_t request_digest) const
+{
+    return this->crashes.judge(request_digest, now) ==
+           online::quarantine_verdict::quarantined;
+}
+
+bool crash_guard::is_suspect(time_point now, std::uint64_t request_digest) const
+{
+    return this->crashes.judge(request_digest, now) !=
+           online::quarantine_verdict::clear;
+}
+
+bool crash_guard::awaits_first_copies(
+    time_point now, std::uint64_t request_digest) const
+{
+    const auto found = this->running.find(request_digest);
+    if (found == this->running.end() || this->sound.contains(request_digest))
+    {
+        return false;
+    }
+    const auto begun_now = std::count_if(
+        found->second.begin(),
+        found->second.end(),
+        [this, now](const auto& run)
+        {
+            return now - run.second < this->settings.watch;
+        });
+    return begun_now >= most_first_copies;
+}
+
+bool crash_guard::may_begin(time_point now, std::uint64_t request_digest) const
+{
+    const bool must_wait = this->running.contains(request_digest) &&
+                           this->is_suspect(now, request_digest);
+    return !must_wait && !this->awaits_first_copies(now, request_digest);
+}
+
+std::vector<crashed_run> crash_guard::latest() const
+{
+    return {this->newest.begin(), this->newest.end()};
+}
+
+} // namespace chicory::serving
--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -13,8 +13,6 @@
 
 /// Weight of a new run in the mean length of runs.
 constexpr double mean_weight = 0.05;
-/// Crashed runs that a digest names; a digest is one datagram.
-constexpr std::size_t most_told_crashes = 16;
 
 void update_mean(double& mean, double value)
 {
@@ -48,8 +46,8 @@
 } // namespace
 
 slot_scheduler::slot_scheduler(slot_scheduler_settings initial)
-    : settings(initial), runners(initial.runners),
-      crashes(initial.crash_memory), neighbours(initial.overflow),
+    : settings(initial), runners(initial.runners), crashes(initial.crashes),
+      neighbours(initial.overflow),
       mean_online_us(static_cast<double>(initial.first_online_run.count()))
 {
 }
@@ -144,11 +142,7 @@
         this->runners.end_run(found->second.runner);
     }
     this->batch_runs.erase(id);
-    if (const auto count = this->copies.find(found->second.request_digest);
-        count != this->copies.end() && --count->second == 0)
-    {
-        this->copies.erase(count);
-    }
+    this->crashes.on_end(found->second.request_digest, id);
     this->running.erase(found);
 }
 
@@ -183,7 +177,7 @@
              {}});
         return false;
     }
-    if (this->is_quarantined(now, request.request_digest))
+    if (this->crashes.is_quarantined(now, request.request_digest))
     {
         out.push_back({request.id, verdict_kind::quarantined, "", {}, {}});
         return false;
@@ -221,11 +215,7 @@
     {
         return;
     }
-    this->crashes.lone_run_completed(run.request_digest, now);
-    if (run.request_digest != 0)
-    {
-        this->sound[run.request_digest] = now + this->settings.sound_memory;
-    }
+    this->crashes.on_completed(now, run.request_digest);
     if (run.kind == work_kind::online)
     {
         update_mean(
@@ -253,40 +243,14 @@
 slot_scheduler::on_crash(time_point now, const crashed_run& run)
 {
     verdicts out;
-    if (run.request_digest == 0)
-    {
-        return out;
-    }
-    online::suspicion notice;
-    notice.fingerprint = run.request_digest;
-    notice.runner = run.id.node + "/" + std::to_string(run.id.incarnation);
-    notice.incarnation = run.id.number;
-    notice.time_to_live = this->settings.crash_memory;
-    this->crashes.merge(notice, now);
-    if (std::find(
-            this->latest_crashes.begin(), this->latest_crashes.end(), run) ==
-        this->latest_crashes.end())
-    {
-        this->latest_crashes.push_back(run);
-        if (this->latest_crashes.size() > most_told_crashes)
-        {
-            this->latest_crashes.pop_front();
-        }
-    }
-    if (this->is_quarantined(now, run.request_digest))
+    this->crashes.on_crash(now, run);
+    if (this->crashes.is_quarantined(now, run.request_digest))
     {
         this->quarantine_waiting(out, run.request_digest);
     }
     return out;
 }
 
-bool slot_scheduler::is_quarantined(
-    time_point now, std::uint64_t request_digest) const
-{
-    return this->crashes.judge(request_digest, now) ==
-           online::quarantine_verdict::quarantined;
-}
-
 void slot_scheduler::quarantine_waiting(
     verdicts& out, std::uint64_t request_digest)
 {
@@ -302,45 +266,6 @@
     }
 }
 
-bool slot_scheduler::is_running(std::uint64_t request_digest) const
-{
-    return std::any_of(
-        this->running.begin(),
-        this->running.end(),
-        [request_digest](const auto& item)
-        {
-            return item.second.request_digest == request_digest;
-        });
-}
-
-bool slot_scheduler::awaits_first_copies(
-    time_point now, const slot_request& request) const
-{
-    constexpr int most_first_copies = 2;
-    const auto count = this->copies.find(request.request_digest);
-    if (count == this->copies.end() || count->second < most_first_copies ||
-        this->sound.contains(request.request_digest))
-    {
-        return false;
-    }
-    return std::count_if(
-               this->running.begin(),
-               this->running.end(),
-               [&](const auto& item)
-               {
-                   const running_slot& run = item.second;
-                   return run.request_digest == request.request_digest &&
-                          now - run.since < this->settings.crash_watch;
-               }) >= most_first_copies;
-}
-
-bool slot_scheduler::must_run_alone(
-    time_point now, const slot_request& request) const
-{
-    return this->crashes.judge(request.request_digest, now) !=
-           online::quarantine_verdict::clear;
-}
-
 std::vector<slot_verdict> slot_scheduler::on_report(
     time_point now,
     const std::string& node,
@@ -482,10 +407,7 @@
     this->queue.erase(found);
     this->add_running(id, kind, runner, now);
     this->running.at(id).request_digest = digest;
-    if (digest != 0)
-    {
-        ++this->copies[digest];
-    }
+    this->crashes.on_begin(now, digest, id);
     if (kind == work_kind::batch)
     {
         this->running.at(id).due = due;
@@ -539,12 +461,7 @@
     for (const slot_id* id : this->order_online(now))
     {
         const slot_request& request = this->queue.at(*id).request;
-        if (this->must_run_alone(now, request) &&
-            this->is_running(request.request_digest))
-        {
-            continue;
-        }
-        if (this->awaits_first_copies(now, request))
+        if (!this->crashes.may_begin(now, request.request_digest))
         {
             continue;
         }
@@ -657,8 +574,8 @@
     {
         const slot_request& request = this->queue.at(*id).request;
         if (has_room && !request.redirected &&
-            !this->must_run_alone(now, request) &&
-            !this->awaits_first_copies(now, request))
+            !this->crashes.is_suspect(now, request.request_digest) &&
+            this->crashes.may_begin(now, request.request_digest))
         {
             has_room = this->redirect(out, now, *id, work_kind::online);
         }
@@ -706,8 +623,7 @@
                          static_cast<std::int64_t>(this->batch_runs.size()) -
                          reserved - waiting_online;
     digest.batch_room = idle - reserved - waiting_online - waiting_batch;
-    digest.crashed.assign(
-        this->latest_crashes.begin(), this->latest_crashes.end());
+    digest.crashed = this->crashes.latest();
     return digest;
 }
 
@@ -774,7 +690,8 @@
     {
         const auto found = this->queue.find(*id);
         const waiting_request& waiting = found->second;
-        if (this->awaits_first_copies(now, waiting.request))
+        if (this->crashes.awaits_first_copies(
+                now, waiting.request.request_digest))
         {
             // It waits for a moment, not for a slot.
             continue;
@@ -823,12 +740,13 @@
         this->drop_node(node, this->nodes.at(node).incarnation + 1);
         this->nodes.erase(node);
     }
-    const auto is_over = [now](const auto& item)
-    {
-        return item.second < now;
-    };
-    std::erase_if(this->refused, is_over);
-    std::erase_if(this->sound, is_over);
+    std::erase_if(
+        this->refused,
+        [now](const auto& item)
+        {
+            return item.second < now;
+        });
+    this->crashes.on_tick(now);
     this->dispatch(out, now);
     this->refuse_late(out, now);
     this->send_guests_back(out, now);
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -1,7 +1,7 @@
 #ifndef CHICORY_POLICY_SERVING_SLOT_SCHEDULER_HPP
 #define CHICORY_POLICY_SERVING_SLOT_SCHEDULER_HPP
 
-#include "policy/online/online.hpp"
+#include "policy/serving/crash_guard.hpp"
 #include "policy/serving/group_overflow.hpp"
 #include "policy/serving/item_plan.hpp"
 #include "policy/serving/runner_slots.hpp"
@@ -25,6 +25,7 @@
 struct slot_scheduler_settings
 {
     runner_slots_settings runners;
+    crash_guard_settings crashes;
     group_overflow_settings overflow;
     /// An item that another group sent here asks its own group again after it
     /// waited so long.
@@ -40,14 +41,6 @@
     duration report_slack = std::chrono::milliseconds(150);
     /// Time that a refused request is remembered.
     duration return_memory = std::chrono::seconds(10);
-    /// Time that a request is remembered after it crashed a runner.
-    duration crash_memory = std::chrono::minutes(10);
-    /// A request that crashes its runner does so before its first piece, within
-    /// this time of a run; so long two copies of a request that was never
-    /// completed are all that run.
-    duration crash_watch = std::chrono::milliseconds(150);
-    /// Time for which a request that was completed is known to be sound.
-    duration sound_memory = std::chrono::seconds(10);
     /// A request is refused for being late within this part of the time that
     /// it has to be on time, or not at all.
     std::int64_t decision_share = 4;
@@ -77,10 +70,8 @@
 ///   free; one that was let wait is served late rather than refused. Times to
 ///   come back are spread at the rate at which slots come free. Those who came
 ///   back go first and are not refused again.
-/// - Copies of a request that crashes the runners that begin it, sent by many
-///   nodes: two begin at once and further ones wait a moment for what becomes
-///   of them; after the first crash its copies run one at a time, after the
-///   second none is run.
+/// - Copies of a request that crashes the runners that begin it: see
+///   `crash_guard`.
 /// - More than this group has slots for while other groups have room: what
 ///   would wait is sent there once; see `group_overflow`.
 /// - Runners that fail or go silent: see `runner_slots`.
@@ -200,7 +191,6 @@
     std::int64_t reserved_slots(time_point now);
     void
     grant(verdicts& out, time_point now, slot_id id, const std::string& runner);
-    bool is_quarantined(time_point now, std::uint64_t request_digest) const;
     void quarantine_waiting(verdicts& out, std::uint64_t request_digest);
     void dispatch_online(verdicts& out, time_point now);
     void dispatch_batch(verdicts& out, time_point now, bool may_displace);
@@ -212,10 +202,6 @@
     /// Refuses items of other groups that waited here for long.
     void send_guests_back(verdicts& out, time_point now);
     void refuse_late(verdicts& out, time_point now);
-    bool must_run_alone(time_point now, const slot_request& request) const;
-    bool is_running(std::uint64_t request_digest) const;
-    /// Returns whether two copies of the request have only just begun.
-    bool awaits_first_copies(time_point now, const slot_request& request) const;
     wait_estimate estimate_waits(time_point now) const;
     /// `wait` is that of a request behind all that wait.
     duration choose_return(
@@ -227,10 +213,6 @@
     slot_scheduler_settings settings;
     runner_slots runners;
     std::map<slot_id, running_slot> running;
-    /// Number of runs by the digest of their request.
-    std::map<std::uint64_t, int> copies;
-    /// Requests that were completed, and until when they are remembered.
-    std::map<std::uint64_t, time_point> sound;
     /// Batch runs that were not told to leave.
     std::set<slot_id> batch_runs;
     std::map<slot_id, waiting_request> queue;
@@ -239,9 +221,7 @@
     std::map<std::string, node_contact> nodes;
     /// Refused requests by digest, and until when they are remembered.
     std::map<std::uint64_t, time_point> refused;
-    online::quarantine crashes;
-    /// The latest of them, for the other groups.
-    std::deque<crashed_run> latest_crashes;
+    crash_guard crashes;
     group_overflow neighbours;
     double mean_online_us = 0.0;
     /// Items that are put off, as of the last plan.
