Slot scheduler: Sort what waits for other groups only where one has room

redirect_waiting runs with each packet and sorted all waiting requests a second time, also for a service of one group, which has no neighbours.

--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -569,8 +569,12 @@
     {
         return;
     }
-    bool has_room = true;
-    for (const slot_id* id : this->order_online(now))
+    bool has_room = this->neighbours.has_room(now, work_kind::online);
+    // Sorted only where there is somewhere to send to: this runs with each
+    // packet, and a service of one group has no neighbours.
+    const std::vector<const slot_id*> order =
+        has_room ? this->order_online(now) : std::vector<const slot_id*>();
+    for (const slot_id* id : order)
     {
         const slot_request& request = this->queue.at(*id).request;
         if (has_room && !request.redirected &&
