Node: Bound in bytes what is read of answers, whoever sends them

Cause: bytes that are no answer may come without end. A chunk's extension, trailers and whole bodies were read as long as they came, an informational head was passed on as the answer, and each piece of an unfinished event was searched from its beginning.

Change: answer_limits of the HTTP client (head, body, skipped answers, eight informational heads, 64 KiB of unparsed bytes), one read_whole in place of three loops, bounds of events, streams and items' texts as settings. What exceeds one is malformed: a failed run, not a closed connection, so that it no longer counts as a crash of the request. Searching an event is linear in its bytes.

Not shown: the first token of other callers beside 64 endless answers.

--- a/core/error.cpp
+++ b/core/error.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr enum_table<error_kind, 11> error_kind_names = {{
+constexpr enum_table<error_kind, 12> error_kind_names = {{
     {error_kind::invalid_input, "invalid_input"},
     {error_kind::not_found, "not_found"},
     {error_kind::conflict, "conflict"},
@@ -19,6 +19,7 @@
     {error_kind::overloaded, "overloaded"},
     {error_kind::cancelled, "cancelled"},
     {error_kind::outcome_unknown, "outcome_unknown"},
+    {error_kind::malformed, "malformed"},
     {error_kind::internal, "internal"},
 }};
 
--- a/core/error.hpp
+++ b/core/error.hpp
@@ -24,6 +24,8 @@
     overloaded,
     cancelled,
     outcome_unknown,
+    /// Bytes that are no answer, or more of them than are taken.
+    malformed,
     internal,
 };
 
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -35,13 +35,18 @@
 constexpr std::size_t max_idle_per_server = 64;
 /// Responses to earlier requests that a call skips at most.
 constexpr int max_skipped_responses = 3;
+/// Informational heads (1xx) that a call reads past at most.
+constexpr int max_informational_heads = 8;
+/// Bytes kept unparsed: the longest line between two chunks, trailers included.
+constexpr std::size_t max_unparsed_bytes = 65536;
 /// Time by which a kept connection is given up before the server may close
 /// it, so that a request does not cross the close.
 constexpr std::chrono::milliseconds keep_alive_margin(500);
 
 struct connection
 {
-    explicit connection(asio::any_io_executor executor) : stream(executor)
+    explicit connection(asio::any_io_executor executor)
+        : stream(executor), buffer(max_unparsed_bytes)
     {
     }
 
@@ -82,12 +87,36 @@
     return request;
 }
 
-error make_stream_error(const endpoint& server, beast::error_code code)
+bool is_informational(int status)
 {
-    const error_kind kind = code == beast::error::timeout
-                                ? error_kind::timeout
-                                : error_kind::unavailable;
-    return make_error(kind, describe(server) + ": " + code.message());
+    return status >= 100 && status < 200;
+}
+
+error_kind classify(beast::error_code code)
+{
+    if (code == beast::error::timeout)
+    {
+        return error_kind::timeout;
+    }
+    const bool is_parse_error =
+        code.category() == make_error_code(http::error::bad_version).category();
+    const bool is_close = code == http::error::end_of_stream ||
+                          code == http::error::partial_message;
+    return is_parse_error && !is_close ? error_kind::malformed
+                                       : error_kind::unavailable;
+}
+
+/// `unparsed` is the number of bytes that came and are no answer.
+error make_stream_error(
+    const endpoint& server, beast::error_code code, std::size_t unparsed)
+{
+    const error_kind kind = classify(code);
+    std::string text = describe(server) + ": " + code.message();
+    if (kind == error_kind::malformed)
+    {
+        text += ", " + std::to_string(unparsed) + " bytes unparsed";
+    }
+    return make_error(kind, std::move(text));
 }
 
 } // namespace
@@ -162,8 +191,9 @@
     beast_http_stream(
         endpoint peer,
         std::unique_ptr<connection> source,
+        answer_limits bounds,
         keep_function on_finished)
-        : server(std::move(peer)), link(std::move(source)),
+        : server(std::move(peer)), link(std::move(source)), limits(bounds),
           keep(std::move(on_finished))
     {
     }
@@ -173,6 +203,12 @@
         return this->response;
     }
 
+    /// Bytes that came and were not taken for a part of an answer.
+    std::size_t unparsed_bytes() const
+    {
+        return this->link == nullptr ? 0 : this->link->buffer.size();
+    }
+
     /// Reads the head of the response. Responses whose `echoed` header has
     /// another value belong to earlier requests and are skipped. One without
     /// it may do so too, unless the connection is fresh.
@@ -181,13 +217,7 @@
     {
         for (int skipped = 0; skipped <= max_skipped_responses; ++skipped)
         {
-            this->parser.emplace();
-            this->parser->body_limit(boost::none);
-            auto [code, count] = co_await http::async_read_header(
-                this->link->stream,
-                this->link->buffer,
-                *this->parser,
-                as_result);
+            const beast::error_code code = co_await this->read_final_head();
             if (code)
             {
                 co_return code;
@@ -236,7 +266,8 @@
             }
             if (code && code != http::error::need_buffer)
             {
-                co_return make_stream_error(this->server, code);
+                co_return make_stream_error(
+                    this->server, code, this->link->buffer.size());
             }
             const std::size_t length =
                 bytes.size() - this->parser->get().body().size;
@@ -258,12 +289,37 @@
     }
 
 private:
+    /// Reads heads up to the first that is not informational.
+    asio::awaitable<beast::error_code> read_final_head()
+    {
+        for (int passed = 0; passed <= max_informational_heads; ++passed)
+        {
+            this->parser.emplace();
+            this->parser->body_limit(boost::none);
+            this->parser->header_limit(this->limits.head_bytes);
+            auto [code, count] = co_await http::async_read_header(
+                this->link->stream,
+                this->link->buffer,
+                *this->parser,
+                as_result);
+            if (code || !is_informational(this->parser->get().result_int()))
+            {
+                co_return code;
+            }
+        }
+        co_return make_error_code(http::error::header_limit);
+    }
+
     /// Reads the rest of a response that nobody wants.
     asio::awaitable<beast::error_code> drain()
     {
         std::array<char, read_size> bytes{};
         while (!this->parser->is_done())
         {
+            if (this->skipped_bytes > this->limits.skipped_bytes)
+            {
+                co_return make_error_code(http::error::body_limit);
+            }
             this->parser->get().body().data = bytes.data();
             this->parser->get().body().size = bytes.size();
             auto [code, count] = co_await http::async_read_some(
@@ -275,6 +331,8 @@
             {
                 co_return code;
             }
+            this->skipped_bytes +=
+                bytes.size() - this->parser->get().body().size;
         }
         co_return beast::error_code();
     }
@@ -309,7 +367,9 @@
 
     endpoint server;
     std::unique_ptr<connection> link;
+    answer_limits limits;
     keep_function keep;
+    std::size_t skipped_bytes = 0;
     /// Made anew for each response that is skipped.
     std::optional<http::response_parser<http::buffer_body>> parser;
     http_response response;
@@ -410,7 +470,7 @@
         if (failed || ending.is_cancelled())
         {
             ending.set_close({});
-            outcome.failure = make_stream_error(server, failed);
+            outcome.failure = make_stream_error(server, failed, 0);
             co_return outcome;
         }
     }
@@ -432,7 +492,7 @@
     if (write_code)
     {
         ending.set_close({});
-        outcome.failure = make_stream_error(server, write_code);
+        outcome.failure = make_stream_error(server, write_code, 0);
         co_return outcome;
     }
     const std::weak_ptr<state> keeper = owner;
@@ -446,59 +506,92 @@
     };
     std::unique_ptr<beast_http_stream> stream =
         std::make_unique<beast_http_stream>(
-            server, std::move(link), std::move(keep));
+            server, std::move(link), limits.answer, std::move(keep));
     const beast::error_code head_code =
         co_await stream->read_head(limits.echoed_header, echo, fresh);
     ending.set_close({});
     if (head_code)
     {
-        outcome.failure = make_stream_error(server, head_code);
+        outcome.failure =
+            make_stream_error(server, head_code, stream->unparsed_bytes());
         co_return outcome;
     }
     outcome.stream = std::move(stream);
     co_return outcome;
 }
 
-asio::awaitable<result<http_response>>
-http_client::request(endpoint server, http_request request, duration limit)
+asio::awaitable<result<std::string>> read_whole(
+    http_stream& stream,
+    time_point until,
+    std::size_t most,
+    std::function<void()> on_piece)
 {
-    // One bound for the whole answer: a server that sends a byte now and then
-    // would hold the caller for ever.
-    const auto until = std::chrono::steady_clock::now() + limit;
-    open_outcome outcome =
-        co_await this->open(server, std::move(request), limit);
-    if (outcome.stream == nullptr)
-    {
-        if (outcome.sent == send_state::maybe_sent)
-        {
-            co_return make_error(
-                error_kind::outcome_unknown, outcome.failure.text);
-        }
-        co_return make_error(error_kind::unavailable, outcome.failure.text);
-    }
-    http_response response = outcome.stream->head();
+    std::string body;
     while (true)
     {
-        const duration left = std::chrono::duration_cast<duration>(
-            until - std::chrono::steady_clock::now());
+        // One bound for the whole body: a server that sends a byte now and
+        // then would hold the caller for ever.
+        const duration left = until - read_monotonic_clock();
         if (left <= duration::zero())
         {
             co_return make_error(
-                error_kind::outcome_unknown,
-                "the answer was not whole in time");
+                error_kind::timeout, "the answer was not whole in time");
         }
-        result<std::string> piece = co_await outcome.stream->read_some(left);
+        result<std::string> piece = co_await stream.read_some(left);
         if (!piece)
         {
-            co_return make_error(
-                error_kind::outcome_unknown, piece.error().text);
+            co_return piece.error();
         }
         if (piece.value().empty())
         {
-            co_return response;
+            co_return body;
+        }
+        if (on_piece)
+        {
+            on_piece();
+        }
+        if (body.size() + piece.value().size() > most)
+        {
+            stream.close();
+            co_return make_error(
+                error_kind::malformed,
+                "answer: expected at most " + std::to_string(most) +
+                    " bytes, found " +
+                    std::to_string(body.size() + piece.value().size()) +
+                    " and more");
+        }
+        body += piece.value();
+    }
+}
+
+asio::awaitable<result<http_response>> http_client::request(
+    endpoint server, http_request request, duration limit, answer_limits bounds)
+{
+    const time_point until = read_monotonic_clock() + limit;
+    open_limits limits;
+    limits.connect = limit;
+    limits.head = limit;
+    limits.answer = bounds;
+    open_outcome outcome = co_await this->open(
+        std::move(server), std::move(request), std::move(limits), nullptr);
+    if (outcome.stream == nullptr)
+    {
+        if (outcome.sent == send_state::maybe_sent)
+        {
+            co_return make_error(
+                error_kind::outcome_unknown, outcome.failure.text);
         }
-        response.body += piece.value();
+        co_return make_error(error_kind::unavailable, outcome.failure.text);
+    }
+    http_response response = outcome.stream->head();
+    result<std::string> body =
+        co_await read_whole(*outcome.stream, until, bounds.body_bytes);
+    if (!body)
+    {
+        co_return make_error(error_kind::outcome_unknown, body.error().text);
     }
+    response.body = std::move(body.value());
+    co_return response;
 }
 
 } // namespace chicory::net
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -9,6 +9,8 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -36,7 +38,7 @@
 
     /// Returns the next piece of the body, or an empty string at its end.
     /// Errors: timeout when nothing came for `silence`, unavailable when the
-    /// connection broke.
+    /// connection broke, malformed when what came is no HTTP.
     virtual boost::asio::awaitable<result<std::string>>
     read_some(duration silence) = 0;
 
@@ -44,6 +46,15 @@
     virtual void close() = 0;
 };
 
+/// Reads the whole body of a response. `on_piece` is called with each piece
+/// that came and may be empty. Errors: those of `read_some`; timeout when the
+/// body is not whole by `until`; malformed when it is longer than `most` bytes.
+boost::asio::awaitable<result<std::string>> read_whole(
+    http_stream& stream,
+    time_point until,
+    std::size_t most,
+    std::function<void()> on_piece = {});
+
 /// Ends a call from outside while `http_client::open` waits.
 class http_cancellation
 {
@@ -61,6 +72,18 @@
     bool cancelled = false;
 };
 
+/// Bytes that a client takes of an answer; one that exceeds them is given up
+/// and its connection closed.
+struct answer_limits
+{
+    /// Lines of a head, all together, and of each informational head before it.
+    std::uint32_t head_bytes = 16384;
+    /// Whole body, where the caller takes it whole.
+    std::size_t body_bytes = std::size_t(4) << 20U;
+    /// Bodies that are skipped since they answer earlier requests, together.
+    std::size_t skipped_bytes = std::size_t(256) << 10U;
+};
+
 /// Bounds of one call.
 struct open_limits
 {
@@ -75,6 +98,7 @@
     /// carries another value there answers an earlier request and is
     /// skipped. Empty for a server that repeats none.
     std::string echoed_header;
+    answer_limits answer;
 };
 
 /// What `http_client::open` gives.
@@ -110,10 +134,14 @@
         open_limits limits,
         http_cancellation* cancellation);
 
-    /// Sends a request and reads the whole response. Errors: unavailable when
-    /// certainly not sent, timeout or outcome_unknown otherwise.
-    boost::asio::awaitable<result<http_response>>
-    request(endpoint server, http_request request, duration limit);
+    /// Sends a request and reads the whole response, of which `bounds` says
+    /// how many bytes are taken. Errors: unavailable when certainly not sent,
+    /// outcome_unknown otherwise.
+    boost::asio::awaitable<result<http_response>> request(
+        endpoint server,
+        http_request request,
+        duration limit,
+        answer_limits bounds = {});
 
 private:
     struct state;
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -30,6 +30,9 @@
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_size = 65536;
 constexpr std::size_t first_read_size = 4096;
+/// Bytes kept unparsed beside a head: the longest line between two chunks,
+/// trailers included.
+constexpr std::size_t max_unparsed_bytes = 65536;
 
 error make_peer_error(beast::error_code code)
 {
@@ -40,7 +43,7 @@
 struct server_connection
 {
     explicit server_connection(asio::ip::tcp::socket socket)
-        : stream(std::move(socket))
+        : stream(std::move(socket)), buffer(max_unparsed_bytes)
     {
     }
 
@@ -68,6 +71,8 @@
     {
         this->parser.body_limit(boost::none);
         this->parser.header_limit(this->options->limits.header_bytes);
+        this->link->buffer.max_size(
+            max_unparsed_bytes + this->options->limits.header_bytes);
     }
 
     ~beast_exchange() override
--- a/policy/serving/event_splitter.cpp
+++ b/policy/serving/event_splitter.cpp
@@ -69,15 +69,18 @@
 
 std::string event_splitter::cut(std::string_view bytes)
 {
+    // What was kept before holds no end, so that each byte is searched once.
     const std::size_t search_from =
         this->kept.empty() ? 0 : this->kept.size() - 1;
     this->kept += bytes;
-    const std::size_t end = this->kept.rfind(event_end);
-    if (end == std::string::npos || end < search_from)
+    const std::size_t end =
+        std::string_view(this->kept).substr(search_from).rfind(event_end);
+    if (end == std::string_view::npos)
     {
         return std::string();
     }
-    std::string whole = this->kept.substr(0, end + event_end.size());
+    std::string whole =
+        this->kept.substr(0, search_from + end + event_end.size());
     this->kept.erase(0, whole.size());
     return whole;
 }
--- a/policy/serving/item_progress.cpp
+++ b/policy/serving/item_progress.cpp
@@ -40,6 +40,11 @@
     this->splitter.drop_unfinished();
 }
 
+void item_progress::restart()
+{
+    *this = item_progress();
+}
+
 bool item_progress::take(std::string_view bytes)
 {
     for (const stream_event& event : read_events(this->splitter.cut(bytes)))
@@ -62,6 +67,11 @@
     return this->splitter.unfinished_bytes() == 0 && this->count > 0;
 }
 
+std::size_t item_progress::unfinished_bytes() const
+{
+    return this->splitter.unfinished_bytes();
+}
+
 const std::string& item_progress::last_event_id() const
 {
     return this->last_id;
--- a/policy/serving/item_progress.hpp
+++ b/policy/serving/item_progress.hpp
@@ -20,6 +20,9 @@
     /// Begins a run; bytes of an unfinished event are dropped.
     void begin_run();
 
+    /// Forgets the text, so that the next run begins with the first event.
+    void restart();
+
     /// Takes bytes of the run. Returns false when an event does not follow
     /// the one before; the run must end then, and nothing of it is taken
     /// from that event on.
@@ -28,6 +31,9 @@
     /// Returns whether the run may end here: no event is unfinished.
     bool is_whole() const;
 
+    /// Bytes of an event that is not whole yet.
+    std::size_t unfinished_bytes() const;
+
     /// Id of the last event taken; empty before the first.
     const std::string& last_event_id() const;
 
--- a/servers/node/item_run.cpp
+++ b/servers/node/item_run.cpp
@@ -253,6 +253,28 @@
     co_return step::again;
 }
 
+result<void> item_run::check_bounds()
+{
+    const answer_bounds& bounds = this->services.bounds;
+    const std::size_t unfinished = this->text.unfinished_bytes();
+    const std::size_t taken = this->text.text().size();
+    if (unfinished <= bounds.event_bytes && taken <= bounds.item_text_bytes)
+    {
+        return boost::outcome_v2::success();
+    }
+    if (taken > bounds.item_text_bytes)
+    {
+        // No run that goes on behind such a text could end.
+        this->text.restart();
+    }
+    return make_error(
+        error_kind::malformed,
+        "item: expected at most " + std::to_string(bounds.event_bytes) +
+            " bytes in an event and " + std::to_string(bounds.item_text_bytes) +
+            " in all, found " + std::to_string(unfinished) + " and " +
+            std::to_string(taken));
+}
+
 asio::awaitable<item_run::step> item_run::read_text(const slot_answer& slot)
 {
     this->text.begin_run();
@@ -272,6 +294,10 @@
             failure = piece.error().text;
             closed = is_closed(piece.error());
         }
+        else if (const result<void> bounded = this->check_bounds(); !bounded)
+        {
+            failure = bounded.error().text;
+        }
         else if (!this->text.take(piece.value()))
         {
             failure =
--- a/servers/node/item_run.hpp
+++ b/servers/node/item_run.hpp
@@ -71,6 +71,8 @@
     boost::asio::awaitable<step> take_answer(
         const slot_answer& slot, std::unique_ptr<net::http_stream> answer);
     boost::asio::awaitable<step> read_text(const slot_answer& slot);
+    /// Error: malformed when more came than is taken.
+    result<void> check_bounds();
     boost::asio::awaitable<void> pause(duration length);
     boost::asio::awaitable<void> pause_before_retry();
 
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -39,10 +39,21 @@
     return limits;
 }
 
+net::answer_limits make_answer_limits(const answer_bounds& source)
+{
+    net::answer_limits limits;
+    limits.head_bytes = static_cast<std::uint32_t>(source.head_bytes);
+    limits.body_bytes = source.records_bytes;
+    limits.skipped_bytes = source.skipped_bytes;
+    return limits;
+}
+
 platform::store_client_settings make_store_settings(const node_settings& source)
 {
     platform::store_client_settings settings;
     settings.address = source.store;
+    settings.answer = make_answer_limits(source.bounds);
+    settings.object_bytes = source.bounds.object_bytes;
     return settings;
 }
 
@@ -121,6 +132,7 @@
       runners(
           io.get_executor(),
           this->knowledge,
+          make_answer_limits(this->settings.bounds),
           [this](const serving::runner_entry& runner)
           {
               this->slots.report_leaving(runner);
@@ -133,7 +145,11 @@
           this->incarnation + 2),
       job_work(
           io,
-          {this->knowledge, this->slots, this->runners, this->numbers},
+          {this->knowledge,
+           this->slots,
+           this->runners,
+           this->numbers,
+           this->settings.bounds},
           this->jobs,
           this->settings.vm_id,
           [this]
@@ -460,7 +476,11 @@
     const auto call = std::make_shared<online_call>(
         this->context,
         run_services{
-            this->knowledge, this->slots, this->runners, this->numbers},
+            this->knowledge,
+            this->slots,
+            this->runners,
+            this->numbers,
+            this->settings.bounds},
         std::move(configuration),
         route,
         exchange,
--- a/servers/node/node_settings.cpp
+++ b/servers/node/node_settings.cpp
@@ -1,5 +1,6 @@
 #include "servers/node/node_settings.hpp"
 
+#include <array>
 #include <utility>
 
 namespace chicory::node
@@ -40,6 +41,35 @@
         reader.optional_integer(key, fallback, 1, longest_seconds));
 }
 
+/// A bound below the size of one read would end sound answers.
+constexpr std::int64_t lowest_bound = 16384;
+constexpr std::int64_t highest_bound = std::int64_t(256) << 20U;
+
+answer_bounds read_bounds(settings_reader& reader)
+{
+    answer_bounds bounds;
+    const std::array<std::pair<std::string_view, std::size_t*>, 9> entries = {{
+        {"limits.head_bytes", &bounds.head_bytes},
+        {"limits.answer_bytes", &bounds.answer_bytes},
+        {"limits.event_bytes", &bounds.event_bytes},
+        {"limits.stream_bytes", &bounds.stream_bytes},
+        {"limits.item_text_bytes", &bounds.item_text_bytes},
+        {"limits.skipped_bytes", &bounds.skipped_bytes},
+        {"limits.records_bytes", &bounds.records_bytes},
+        {"limits.object_bytes", &bounds.object_bytes},
+        {"limits.knowledge_bytes", &bounds.knowledge_bytes},
+    }};
+    for (const auto& [key, bound] : entries)
+    {
+        *bound = static_cast<std::size_t>(reader.optional_integer(
+            key,
+            static_cast<std::int64_t>(*bound),
+            lowest_bound,
+            highest_bound));
+    }
+    return bounds;
+}
+
 severity read_level(settings_reader& reader)
 {
     const std::string name = reader.optional_string("log.level", "info");
@@ -88,6 +118,7 @@
         "times.cancel_limit_ms", 3000, 1, longest_seconds));
     settings.result_lifetime =
         read_seconds(reader, "times.result_lifetime_s", 120);
+    settings.bounds = read_bounds(reader);
     settings.log_level = read_level(reader);
     if (const result<void> checked = reader.finish(); !checked)
     {
--- a/servers/node/node_settings.hpp
+++ b/servers/node/node_settings.hpp
@@ -5,6 +5,7 @@
 #include "net/net.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -12,6 +13,31 @@
 namespace chicory::node
 {
 
+/// Bytes that a node takes of answers. Bytes that are no answer may come
+/// without end; what exceeds a bound is given up and its connection closed.
+struct answer_bounds
+{
+    /// Head of an answer of a runner, of the store or of another node.
+    std::size_t head_bytes = 16384;
+    /// Answer of a runner that is no stream of events.
+    std::size_t answer_bytes = std::size_t(256) << 10U;
+    /// One event of a stream.
+    std::size_t event_bytes = std::size_t(64) << 10U;
+    /// All events of a stream that a caller gets.
+    std::size_t stream_bytes = std::size_t(16) << 20U;
+    /// Text of an item.
+    std::size_t item_text_bytes = std::size_t(256) << 10U;
+    /// Late answers to earlier requests that are read past on a connection.
+    std::size_t skipped_bytes = std::size_t(256) << 10U;
+    /// Answer of the store with records: it gives 1 MB of values at once, a
+    /// third more in base64.
+    std::size_t records_bytes = std::size_t(2) << 20U;
+    /// Object of the store.
+    std::size_t object_bytes = std::size_t(8) << 20U;
+    /// What another node tells of the fleet.
+    std::size_t knowledge_bytes = std::size_t(4) << 20U;
+};
+
 /// Settings of a node: the one program of an entry VM.
 struct node_settings
 {
@@ -47,6 +73,7 @@
     std::int64_t record_bytes = 65536;
     /// Time for which results of a job stay readable.
     duration result_lifetime = std::chrono::seconds(120);
+    answer_bounds bounds;
     severity log_level = severity::info;
 };
 
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -268,6 +268,25 @@
         "first_piece", read_monotonic_clock() - this->arrived);
 }
 
+result<std::string> online_call::take_events(const std::string& piece)
+{
+    const answer_bounds& bounds = this->services.bounds;
+    // Checked before the piece is split: what was split goes to the caller.
+    if (this->events.unfinished_bytes() > bounds.event_bytes ||
+        this->streamed_bytes > bounds.stream_bytes)
+    {
+        return make_error(
+            error_kind::malformed,
+            "stream: expected at most " + std::to_string(bounds.event_bytes) +
+                " bytes in an event and " +
+                std::to_string(bounds.stream_bytes) + " in all, found " +
+                std::to_string(this->events.unfinished_bytes()) + " and " +
+                std::to_string(this->streamed_bytes));
+    }
+    this->streamed_bytes += piece.size();
+    return this->events.take(piece);
+}
+
 asio::awaitable<online_call::step>
 online_call::pass_events(const slot_answer& slot)
 {
@@ -295,11 +314,13 @@
         {
             break;
         }
-        if (!piece)
+        const result<std::string> whole =
+            piece ? this->take_events(piece.value()) : piece;
+        if (!whole)
         {
             this->stream->close();
             this->stream.reset();
-            this->release(slot, to_slot_outcome(piece.error()));
+            this->release(slot, to_slot_outcome(whole.error()));
             this->events.drop_unfinished();
             this->failed_runners.push_back(slot.runner);
             log_event(
@@ -307,7 +328,7 @@
                 {{"request", this->terms.attempt_id},
                  {"runner", slot.runner},
                  {"last_event", this->events.last_id()},
-                 {"error", piece.error().text}});
+                 {"error", whole.error().text}});
             if (may_resume)
             {
                 this->services.numbers.count_retry(reason::stream_broken);
@@ -318,8 +339,8 @@
         }
         this->services.slots.note_progress(slot.id);
         const bool ended = piece.value().empty();
-        const std::string whole = this->events.take(piece.value());
-        if (!whole.empty() && !co_await this->exchange.write_chunk(whole))
+        if (!whole.value().empty() &&
+            !co_await this->exchange.write_chunk(whole.value()))
         {
             this->caller_gone = true;
             break;
@@ -358,45 +379,41 @@
     answer.status = this->stream->head().status;
     answer.headers =
         platform::make_caller_headers(this->stream->head().headers);
-    while (!this->is_over())
+    std::function<void()> note_progress = [this, &slot]
     {
-        const result<std::string> piece = co_await this->stream->read_some(
-            this->ends_at - read_monotonic_clock());
-        if (this->is_over())
-        {
-            break;
-        }
-        if (!piece)
-        {
-            this->stream.reset();
-            this->release(slot, to_slot_outcome(piece.error()));
-            runner_outcome broken;
-            broken.contact = runner_contact::unknown;
-            broken.failure = piece.error().text;
-            --this->runs;
-            co_return co_await this->take_failure(slot.runner, broken);
-        }
         this->services.slots.note_progress(slot.id);
-        if (piece.value().empty())
-        {
-            this->release(slot, serving::slot_outcome::completed);
-            this->stream.reset();
-            this->note_first_piece();
-            this->services.numbers.add("requests_completed_total");
-            log_event(
-                event::request_completed,
-                {{"request", this->terms.attempt_id},
-                 {"runner", slot.runner},
-                 {"status", answer.status}});
-            co_await this->exchange.respond(std::move(answer));
-            co_return step::done;
-        }
-        answer.body += piece.value();
-    }
-    this->stream->close();
+    };
+    result<std::string> whole = co_await net::read_whole(
+        *this->stream,
+        this->ends_at,
+        this->services.bounds.answer_bytes,
+        std::move(note_progress));
     this->stream.reset();
-    this->release(slot, serving::slot_outcome::cancelled);
-    co_return step::again;
+    if (this->is_over())
+    {
+        this->release(slot, serving::slot_outcome::cancelled);
+        co_return step::again;
+    }
+    if (!whole)
+    {
+        this->release(slot, to_slot_outcome(whole.error()));
+        runner_outcome broken;
+        broken.contact = runner_contact::unknown;
+        broken.failure = whole.error().text;
+        --this->runs;
+        co_return co_await this->take_failure(slot.runner, broken);
+    }
+    answer.body = std::move(whole.value());
+    this->release(slot, serving::slot_outcome::completed);
+    this->note_first_piece();
+    this->services.numbers.add("requests_completed_total");
+    log_event(
+        event::request_completed,
+        {{"request", this->terms.attempt_id},
+         {"runner", slot.runner},
+         {"status", answer.status}});
+    co_await this->exchange.respond(std::move(answer));
+    co_return step::done;
 }
 
 asio::awaitable<void> online_call::end_over()
--- a/servers/node/online_call.hpp
+++ b/servers/node/online_call.hpp
@@ -53,6 +53,9 @@
     take_failure(const std::string& runner, const runner_outcome& outcome);
     boost::asio::awaitable<step> pass_on(const slot_answer& slot);
     boost::asio::awaitable<step> pass_events(const slot_answer& slot);
+    /// Takes a piece of a stream and returns the whole events that it ends.
+    /// Error: malformed when an event or the stream is longer than is taken.
+    result<std::string> take_events(const std::string& piece);
     boost::asio::awaitable<step> pass_whole(const slot_answer& slot);
     boost::asio::awaitable<void> refuse(duration retry_after, reason why);
     boost::asio::awaitable<void> fail(int status, reason why);
@@ -73,6 +76,7 @@
     slot_wait waiting;
     std::unique_ptr<net::http_stream> stream;
     serving::event_splitter events;
+    std::size_t streamed_bytes = 0;
     std::vector<std::string> failed_runners;
     std::uint64_t digest = 0;
     /// Number of the slot request that was refused; zero for none.
--- a/servers/node/peer_exchange.cpp
+++ b/servers/node/peer_exchange.cpp
@@ -27,7 +27,8 @@
 constexpr int status_gateway_timeout = 504;
 constexpr std::string_view relay_prefix = "/store/";
 constexpr std::string_view knowledge_path = "/knowledge";
-constexpr std::size_t largest_call = 16 << 20;
+/// Bytes of a call beside the largest object that it may carry.
+constexpr std::size_t largest_call_frame = 65536;
 /// Longest call of the store that is passed on: a wait for changes.
 constexpr std::chrono::milliseconds relay_limit(2500);
 constexpr std::size_t most_relays = 2;
@@ -115,7 +116,8 @@
 
 asio::awaitable<void> peer_exchange::pass_on(net::http_exchange& exchange)
 {
-    result<std::string> body = co_await exchange.read_body(largest_call);
+    result<std::string> body = co_await exchange.read_body(
+        this->settings.bounds.object_bytes + largest_call_frame);
     if (!body)
     {
         co_return;
@@ -250,8 +252,10 @@
         }
         net::http_request request;
         request.target = knowledge_path;
+        net::answer_limits bounds;
+        bounds.body_bytes = this->settings.bounds.knowledge_bytes;
         const result<net::http_response> told = co_await this->http.request(
-            teachers.front(), std::move(request), learn_limit);
+            teachers.front(), std::move(request), learn_limit, bounds);
         if (told && told.value().status == 200)
         {
             this->hear(told.value().body);
--- a/servers/node/run_services.hpp
+++ b/servers/node/run_services.hpp
@@ -3,6 +3,7 @@
 
 #include "core/core.hpp"
 #include "servers/node/fleet_knowledge.hpp"
+#include "servers/node/node_settings.hpp"
 #include "servers/node/runner_caller.hpp"
 #include "servers/node/slot_client.hpp"
 
@@ -16,6 +17,7 @@
     slot_client& slots;
     runner_caller& runners;
     metrics& numbers;
+    const answer_bounds& bounds;
 };
 
 } // namespace chicory::node
--- a/servers/node/runner_caller.cpp
+++ b/servers/node/runner_caller.cpp
@@ -18,8 +18,12 @@
 } // namespace
 
 runner_caller::runner_caller(
-    asio::any_io_executor executor, fleet_knowledge& known, leaving_hook hook)
-    : http(std::move(executor)), knowledge(known), on_leaving(std::move(hook))
+    asio::any_io_executor executor,
+    fleet_knowledge& known,
+    net::answer_limits bounds,
+    leaving_hook hook)
+    : http(std::move(executor)), knowledge(known), answer(bounds),
+      on_leaving(std::move(hook))
 {
 }
 
@@ -58,6 +62,7 @@
     limits.connect = connect_limit;
     limits.head = head_limit;
     limits.echoed_header = platform::attempt_header;
+    limits.answer = this->answer;
     bool is_leaving = false;
     limits.may_send = [&directory, &runner, &is_leaving]
     {
--- a/tests/measure/node_log_cost_main.cpp
+++ b/tests/measure/node_log_cost_main.cpp
@@ -1,5 +1,6 @@
 #include "net/net.hpp"
 #include "tests/process/http_call.hpp"
+#include "tests/process/node_settings_text.hpp"
 #include "tests/standins/engine_standin.hpp"
 #include "tests/standins/store_standin.hpp"
 
@@ -106,18 +107,11 @@
         {
             close(file);
         }
-        std::ofstream text(path);
-        text << "[vm]\nid = \"vm-1\"\nregion = \"r1\"\nzone = \"z1\"\n"
-             << "address = \"127.0.0.1\"\nseeds = []\n[listen]\nrequests = \""
-             << "127.0.0.1:" << this->requests.port
-             << "\"\nreadiness = \"127.0.0.1:" << this->readiness.port
-             << "\"\nentry_addresses = \"127.0.0.1:"
-             << chicory::process::find_free_port()
-             << "\"\nfirst_internal_port = "
-             << chicory::process::find_free_port()
-             << "\n[store]\naddress = \"127.0.0.1:" << store_port
-             << "\"\n[log]\nlevel = \""
-             << (this->use == log_use::off ? "error" : "info") << "\"\n";
+        std::ofstream(path) << chicory::process::make_node_settings(
+            this->requests,
+            this->readiness,
+            store_port,
+            this->use == log_use::off ? "error" : "info");
         return path;
     }
 
--- a/tests/policy/serving/serving_test.cpp
+++ b/tests/policy/serving/serving_test.cpp
@@ -70,6 +70,31 @@
     EXPECT_EQ(splitter.last_id(), "2");
 }
 
+// Load pattern: bytes of one event that come in pieces and have no end.
+TEST(event_splitter_test, finds_an_end_that_lies_in_two_pieces)
+{
+    event_splitter splitter;
+    EXPECT_EQ(splitter.take("data: a"), "");
+    EXPECT_EQ(splitter.take(std::string(100000, 'x')), "");
+    EXPECT_EQ(splitter.unfinished_bytes(), 100007U);
+    EXPECT_EQ(splitter.take("\n"), "");
+    EXPECT_EQ(splitter.take("\nid: 2\n").size(), 100009U);
+    EXPECT_EQ(splitter.unfinished_bytes(), 6U);
+}
+
+TEST(item_progress_test, a_text_that_is_given_up_begins_anew)
+{
+    item_progress progress;
+    progress.begin_run();
+    EXPECT_TRUE(progress.take("id: 1\ndata: a\n\nid: 2"));
+    EXPECT_EQ(progress.unfinished_bytes(), 5U);
+    progress.restart();
+    EXPECT_EQ(progress.unfinished_bytes(), 0U);
+    EXPECT_EQ(progress.last_event_id(), "");
+    EXPECT_TRUE(progress.take("id: 1\ndata: b\n\n"));
+    EXPECT_EQ(progress.text(), "b");
+}
+
 TEST(item_progress_test, goes_on_behind_the_last_whole_event)
 {
     item_progress progress;
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -9,8 +9,10 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <iterator>
 #include <sstream>
 #include <utility>
 
@@ -163,7 +165,24 @@
 
 std::int64_t child_process::resident_kb() const
 {
-    static const std::string mark = "VmRSS:";
+    return this->read_status_kb("VmRSS:");
+}
+
+std::int64_t child_process::peak_resident_kb() const
+{
+    return this->read_status_kb("VmHWM:");
+}
+
+std::size_t child_process::open_descriptors() const
+{
+    const std::filesystem::directory_iterator entries(
+        "/proc/" + std::to_string(this->pid) + "/fd");
+    return static_cast<std::size_t>(
+        std::distance(begin(entries), end(entries)));
+}
+
+std::int64_t child_process::read_status_kb(const std::string& mark) const
+{
     const std::string text =
         read_file("/proc/" + std::to_string(this->pid) + "/status");
     const std::size_t place = text.find(mark);
--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -43,13 +44,18 @@
     /// Returns the processor time used so far in milliseconds.
     std::int64_t processor_ms() const;
 
-    /// Returns the resident memory in KB.
+    /// Returns the resident memory in KB: now, and at its peak.
     std::int64_t resident_kb() const;
+    std::int64_t peak_resident_kb() const;
+
+    /// Returns the number of open descriptors.
+    std::size_t open_descriptors() const;
 
     pid_t id() const;
 
 private:
     void take_status(int status);
+    std::int64_t read_status_kb(const std::string& mark) const;
 
     std::string output_file;
     std::size_t first_output;
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -2,6 +2,7 @@
 #include "tests/process/http_call.hpp"
 #include "tests/standins/engine_standin.hpp"
 #include "tests/standins/store_standin.hpp"
+#include "tests/support/endless_server.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -365,6 +366,172 @@
         });
 }
 
+/// Runner whose answers go on without end, in place of `first`.
+class endless_runner_test : public node_process_test
+{
+protected:
+    endless_runner_test() : broken_runner(this->io)
+    {
+    }
+
+    void start_with(const std::string& content_type, std::string repeated)
+    {
+        this->broken_runner.answers = {
+            {"HTTP/1.1 200 OK\r\nContent-Type: " + content_type +
+                 "\r\n\r\nid: 1\ndata: text 1\n\n",
+             std::move(repeated)}};
+        this->store.put("op", "", "config", make_configuration(1));
+        this->store.put(
+            "servers",
+            "",
+            "i-9",
+            R"({"service":"chat","addr":"127.0.0.1:)" +
+                std::to_string(this->broken_runner.address().port) +
+                R"(","zone":"z1","slots":8,"state":"ready","born":1,"seq":1})");
+        this->start();
+        this->wait_until(
+            [this]
+            {
+                return this->get(this->settings.readiness, "/-/readyz")
+                           .status == 200;
+            });
+    }
+
+    void expect_given_up()
+    {
+        this->wait_until(
+            [this]
+            {
+                return this->broken_runner.open_connections == 0;
+            });
+        EXPECT_GT(this->broken_runner.given_up, 0U);
+        EXPECT_LT(
+            this->broken_runner.most_sent, testing_support::most_endless_bytes);
+    }
+
+    testing_support::endless_server broken_runner;
+};
+
+// Load pattern: a runner in trouble sends bytes that are no event at full
+// speed until its caller closes.
+TEST_F(endless_runner_test, an_event_without_end_does_not_reach_the_caller)
+{
+    this->start_with("text/event-stream", "x");
+    const net::http_response response = this->ask("/ask/1", "t1", "");
+    EXPECT_TRUE(this->broken);
+    EXPECT_EQ(response.body.find('x'), std::string::npos);
+    this->expect_given_up();
+    EXPECT_EQ(this->broken_runner.requests, 1U);
+}
+
+TEST_F(endless_runner_test, a_stream_that_may_be_resumed_goes_on_elsewhere)
+{
+    this->start_with("text/event-stream", "x");
+    // Of the runners the one in trouble is taken first or not at all.
+    this->register_runner(this->second, "ready");
+    this->wait_until(
+        [this]
+        {
+            const net::http_response response = this->ask("/go-on/1", "t1", "");
+            EXPECT_FALSE(this->broken);
+            EXPECT_EQ(
+                response.body,
+                "id: 1\ndata: text 1\n\nid: 2\ndata: text 2\n\n"
+                "id: 3\ndata: text 3\n\nid: 4\ndata: text 4\n\n");
+            return this->broken_runner.requests > 0;
+        });
+    this->expect_given_up();
+}
+
+TEST_F(endless_runner_test, events_without_end_are_cut)
+{
+    this->settings.bounds.stream_bytes = 1 << 20;
+    this->start_with("text/event-stream", "data: y\n\n");
+    this->ask("/ask/1", "t1", "");
+    EXPECT_TRUE(this->broken);
+    this->expect_given_up();
+}
+
+TEST_F(endless_runner_test, a_whole_answer_without_end_is_a_failure)
+{
+    this->start_with("text/plain", "x");
+    EXPECT_EQ(this->ask("/ask/1", "t1", "").status, 502);
+    this->expect_given_up();
+    EXPECT_EQ(this->broken_runner.requests, 1U);
+}
+
+TEST_F(endless_runner_test, an_item_goes_on_elsewhere)
+{
+    this->start_with("text/event-stream", "x");
+    EXPECT_EQ(this->submit("j1"), 202);
+    this->wait_until(
+        [this]
+        {
+            return this->broken_runner.given_up > 0;
+        });
+    this->register_runner(this->second, "ready");
+    this->wait_for_results("j1", 2);
+    this->expect_in_results("j1", "state", "completed");
+    this->expect_in_results("j1", "text", "text 1\ntext 2\ntext 3\ntext 4");
+    this->expect_given_up();
+}
+
+// Events that follow each other pass as an item's text until it is too long;
+// the item then begins anew, for no run that goes on could end.
+TEST_F(endless_runner_test, an_item_with_a_text_without_end_begins_anew)
+{
+    this->settings.bounds.item_text_bytes = 16384;
+    std::string events;
+    for (int number = 2; number < 4000; ++number)
+    {
+        events += "id: " + std::to_string(number) + "\ndata: endless\n\n";
+    }
+    this->start_with("text/event-stream", events);
+    EXPECT_EQ(this->submit("j1"), 202);
+    this->wait_until(
+        [this]
+        {
+            return this->broken_runner.given_up > 0;
+        });
+    this->register_runner(this->second, "ready");
+    this->wait_for_results("j1", 2);
+    this->expect_in_results("j1", "text", "text 1\ntext 2\ntext 3\ntext 4");
+}
+
+TEST_F(node_process_test, a_store_that_answers_without_end_is_given_up)
+{
+    testing_support::endless_server endless(this->io);
+    endless.answers = {{"HTTP/1.1 200 OK\r\n\r\n", "{"}};
+    this->settings.store = endless.address();
+    this->start();
+    this->wait_until(
+        [&endless]
+        {
+            return endless.given_up >= 4;
+        });
+    EXPECT_LT(endless.most_sent, testing_support::most_endless_bytes);
+    EXPECT_EQ(this->ask("/ask/1", "t1", "").status, 503);
+}
+
+TEST_F(node_process_test, a_node_that_tells_without_end_is_given_up)
+{
+    testing_support::endless_server endless(this->io);
+    endless.answers = {{"HTTP/1.1 200 OK\r\n\r\n", "{"}};
+    // Seeds are asked at the port that this node has itself; another loopback
+    // address stands for another VM.
+    this->settings.peer_port = endless.address().port;
+    this->settings.address = "127.0.0.2";
+    this->settings.seeds = {"127.0.0.1:1"};
+    this->store.fault = standins::store_fault::refuses;
+    this->start();
+    this->wait_until(
+        [&endless]
+        {
+            return endless.given_up >= 2;
+        });
+    EXPECT_LT(endless.most_sent, testing_support::most_endless_bytes);
+}
+
 TEST_F(node_process_test, a_caller_that_leaves_ends_its_run)
 {
     this->start_serving();
