Jobs: Save the texts of running items, and hand jobs over at a stop

Cause: an item of 216 events takes some 5 s and yields to each burst of online requests; its text was in the memory of its node alone.

Change: events that were not saved yet are written each second as a piece, all items of a job in one transaction on the job's version, so that only the owner writes them; a piece names the digest of the text before it, so that pieces of two runs are never joined. Who loads a job goes on behind the pieces; a listed item's pieces are removed with its listing. A node that stops gives each job with its results and pieces to the node that would take it over.

Tests first failed on the code before: a_node_that_starts_anew_goes_on_with_saved_texts and a_node_that_stops_hands_its_jobs_over (no table of pieces there).

--- a/core/event.cpp
+++ b/core/event.cpp
@@ -71,6 +71,7 @@
         {item_finished, "item_finished", info, "A batch item has its result."},
         {job_taken_over, "job_taken_over", info, "This VM runs a job whose VM is gone."},
         {job_record_rejected, "job_record_rejected", error, "The record of a job in the store cannot be read."},
+        {job_handed_over, "job_handed_over", info, "This VM leaves and gave a job to another one."},
 
         {vm_alive, "vm_alive", info, "A VM is alive."},
         {vm_suspect, "vm_suspect", warning, "A VM does not answer."},
--- a/core/event.hpp
+++ b/core/event.hpp
@@ -59,6 +59,7 @@
     item_finished = 311,
     job_taken_over = 312,
     job_record_rejected = 313,
+    job_handed_over = 314,
 
     // 400: membership.
     vm_alive = 400,
--- a/policy/serving/item_progress.cpp
+++ b/policy/serving/item_progress.cpp
@@ -1,7 +1,7 @@
 #include "policy/serving/item_progress.hpp"
 
 #include <charconv>
-#include <optional>
+#include <utility>
 
 namespace chicory::serving
 {
@@ -40,9 +40,67 @@
     this->splitter.drop_unfinished();
 }
 
+void item_progress::restore(const std::vector<item_piece>& pieces)
+{
+    for (const item_piece& piece : pieces)
+    {
+        // What stays in the store of a piece that does not follow is removed
+        // with the others.
+        this->saved.push_back(piece.first);
+        if (piece.first != this->count ||
+            piece.digest_before != hash_bytes(this->joined))
+        {
+            continue;
+        }
+        this->joined += this->count == 0 ? "" : "\n";
+        this->joined += piece.text;
+        this->count += piece.events;
+        this->last_id = piece.last_id;
+    }
+    this->saved_events = this->count;
+    this->saved_bytes = this->joined.size();
+}
+
 void item_progress::restart()
 {
+    std::vector<std::int64_t> kept = std::move(this->saved);
     *this = item_progress();
+    this->saved = std::move(kept);
+    this->may_save = false;
+}
+
+std::optional<item_piece> item_progress::unsaved() const
+{
+    if (!this->may_save || this->count == this->saved_events)
+    {
+        return std::nullopt;
+    }
+    item_piece piece;
+    piece.first = this->saved_events;
+    piece.events = this->count - this->saved_events;
+    piece.last_id = this->last_id;
+    const std::string_view whole = this->joined;
+    piece.digest_before = hash_bytes(whole.substr(0, this->saved_bytes));
+    // A line feed parts the piece from the event before it.
+    piece.text =
+        whole.substr(this->saved_bytes + (this->saved_events == 0 ? 0 : 1));
+    return piece;
+}
+
+void item_progress::on_saved(const item_piece& piece)
+{
+    this->saved.push_back(piece.first);
+    if (piece.first != this->saved_events || !this->may_save)
+    {
+        return;
+    }
+    this->saved_bytes += piece.text.size() + (this->saved_events == 0 ? 0 : 1);
+    this->saved_events += piece.events;
+}
+
+const std::vector<std::int64_t>& item_progress::saved_pieces() const
+{
+    return this->saved;
 }
 
 bool item_progress::take(std::string_view bytes)
--- a/policy/serving/item_progress.hpp
+++ b/policy/serving/item_progress.hpp
@@ -2,27 +2,46 @@
 #define CHICORY_POLICY_SERVING_ITEM_PROGRESS_HPP
 
 #include "policy/serving/event_splitter.hpp"
+#include "policy/serving/item_piece.hpp"
 #include "policy/serving/job_record.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace chicory::serving
 {
 
 /// Text of one item over all its runs. A run that ends early leaves the whole
 /// events so far, and the next one goes on behind the last of them. Answers
-/// the load pattern of online bursts that interrupt items again and again.
+/// the load patterns of online bursts that interrupt items again and again,
+/// and of nodes that are lost, all at once too: what was saved goes on.
 class item_progress
 {
 public:
+    /// Goes on from pieces that were saved; those that do not follow the text
+    /// before them are left out.
+    void restore(const std::vector<item_piece>& saved);
+
     /// Begins a run; bytes of an unfinished event are dropped.
     void begin_run();
 
-    /// Forgets the text, so that the next run begins with the first event.
+    /// Forgets the text, so that the next run begins with the first event. No
+    /// further piece is made, for those that were saved stay.
     void restart();
 
+    /// Returns the events that were not saved yet; nothing when there are none.
+    std::optional<item_piece> unsaved() const;
+
+    /// Takes that the store keeps a piece that `unsaved` returned.
+    void on_saved(const item_piece& piece);
+
+    /// Numbers of events before each piece that the store keeps.
+    const std::vector<std::int64_t>& saved_pieces() const;
+
     /// Takes bytes of the run. Returns false when an event does not follow
     /// the one before; the run must end then, and nothing of it is taken
     /// from that event on.
@@ -47,6 +66,10 @@
     std::string joined;
     std::string last_id;
     std::int64_t count = 0;
+    std::vector<std::int64_t> saved;
+    std::int64_t saved_events = 0;
+    std::size_t saved_bytes = 0;
+    bool may_save = true;
 };
 
 /// What is to be done with an item after a run that failed.
--- a/policy/serving/job_ownership.cpp
+++ b/policy/serving/job_ownership.cpp
@@ -8,6 +8,26 @@
 namespace chicory::serving
 {
 
+std::optional<live_node>
+choose_owner(const std::string& job, const std::vector<live_node>& live)
+{
+    std::vector<std::string> names;
+    names.reserve(live.size());
+    for (const live_node& node : live)
+    {
+        names.push_back(node.id);
+    }
+    const std::vector<std::string> order = order_nodes(job, names);
+    const auto chosen = std::find_if(
+        live.begin(),
+        live.end(),
+        [&order](const live_node& node)
+        {
+            return node.id == order.front();
+        });
+    return chosen == live.end() ? std::nullopt : std::optional(*chosen);
+}
+
 job_ownership::job_ownership(live_node node) : self(std::move(node))
 {
 }
@@ -51,14 +71,8 @@
     {
         return false;
     }
-    std::vector<std::string> names;
-    names.reserve(live.size());
-    for (const live_node& node : live)
-    {
-        names.push_back(node.id);
-    }
-    const std::vector<std::string> order = order_nodes(job.id, names);
-    return !order.empty() && order.front() == this->self.id;
+    const std::optional<live_node> chosen = choose_owner(job.id, live);
+    return chosen && chosen->id == this->self.id;
 }
 
 void job_ownership::forget(const std::string& job)
--- a/policy/serving/job_ownership.hpp
+++ b/policy/serving/job_ownership.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,11 @@
     std::string zone = {};
 };
 
+/// Returns the node that is to run a job whose owner is gone or leaves, the
+/// same in the view of all; nothing when no node is live.
+std::optional<live_node>
+choose_owner(const std::string& job, const std::vector<live_node>& live);
+
 /// Decides when this node takes over a job. Answers the load patterns of
 /// nodes that die, leave, or are all restarted at once with jobs under way:
 /// each job goes to one node, the same in the view of all.
--- a/servers/node/item_run.cpp
+++ b/servers/node/item_run.cpp
@@ -44,12 +44,18 @@
     std::string its_job,
     std::string route_name,
     time_point due_at,
-    time_point given_up_at)
+    time_point given_up_at,
+    const std::vector<serving::item_piece>& saved)
     : context(io), services(shared_services), item(its_item),
       job(std::move(its_job)), route(std::move(route_name)), due(due_at),
       gives_up_at(given_up_at),
       output_tokens(platform::read_caller_terms(its_item.headers).output_tokens)
 {
+    this->text.restore(saved);
+    if (!saved.empty())
+    {
+        this->worked = saved.back().worked;
+    }
 }
 
 void item_run::stop()
@@ -91,6 +97,25 @@
     return this->text;
 }
 
+std::optional<serving::item_piece> item_run::unsaved() const
+{
+    std::optional<serving::item_piece> piece = this->text.unsaved();
+    if (piece)
+    {
+        piece->worked = this->worked;
+        if (this->run_began)
+        {
+            piece->worked += read_monotonic_clock() - *this->run_began;
+        }
+    }
+    return piece;
+}
+
+void item_run::on_saved(const serving::item_piece& piece)
+{
+    this->text.on_saved(piece);
+}
+
 duration item_run::expected_work() const
 {
     const duration whole = duration(token_time) * this->output_tokens;
@@ -214,9 +239,11 @@
         co_return step::again;
     }
     this->has_slot = true;
+    this->run_began = begun;
     const step next =
         co_await this->take_answer(slot, std::move(outcome.stream));
     this->has_slot = false;
+    this->run_began.reset();
     this->worked += read_monotonic_clock() - begun;
     co_return next;
 }
--- a/servers/node/item_run.hpp
+++ b/servers/node/item_run.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,7 +42,8 @@
         std::string its_job,
         std::string route_name,
         time_point due_at,
-        time_point given_up_at);
+        time_point given_up_at,
+        const std::vector<serving::item_piece>& saved);
 
     /// Works until the item ends in one of the ways of `item_end`. May be
     /// called again after `failed`.
@@ -55,6 +57,12 @@
 
     const serving::item_progress& progress() const;
 
+    /// Returns what was not saved yet; nothing when that is no event.
+    std::optional<serving::item_piece> unsaved() const;
+
+    /// Takes that the store keeps a piece.
+    void on_saved(const serving::item_piece& piece);
+
 private:
     enum class step
     {
@@ -85,8 +93,10 @@
     time_point gives_up_at;
     std::int64_t output_tokens;
     serving::item_progress text;
-    /// Time that runs of the item have taken.
+    /// Time that runs of the item have taken, those before the last saved
+    /// piece included, and when the one in progress began.
     duration worked = duration::zero();
+    std::optional<time_point> run_began;
     /// Runs in a row at whose runner the connection closed without progress.
     int closed_runs = 0;
     /// Set while the item waits for its next run, so that a stop ends that.
--- a/servers/node/job_ledger.cpp
+++ b/servers/node/job_ledger.cpp
@@ -1,7 +1,5 @@
 #include "servers/node/job_ledger.hpp"
 
-#include "servers/node/job_records.hpp"
-
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -426,6 +424,81 @@
     }
 }
 
+asio::awaitable<result<job_ledger::pieces_by_item>>
+job_ledger::read_pieces(std::string id)
+{
+    const known_job* known = this->view.find(id);
+    if (known == nullptr)
+    {
+        co_return make_missing_error(id);
+    }
+    ports::record_range range =
+        make_part_range(piece_table, known->partition, id, 0);
+    pieces_by_item found;
+    while (true)
+    {
+        const result<ports::record_page> page =
+            co_await this->records.read(range);
+        if (!page)
+        {
+            co_return page.error();
+        }
+        for (const ports::record& entry : page.value().records)
+        {
+            const std::optional<std::int64_t> item =
+                read_piece_item(id, entry.key);
+            result<serving::item_piece> piece =
+                serving::decode_piece(entry.value);
+            if (item && piece)
+            {
+                found[*item].push_back(std::move(piece.value()));
+                continue;
+            }
+            log_event(
+                event::job_record_rejected,
+                {{"job", id},
+                 {"key", entry.key},
+                 {"error", piece ? "no item" : piece.error().text}});
+        }
+        if (!page.value().has_more || page.value().records.empty())
+        {
+            co_return found;
+        }
+        range.from = page.value().records.back().key + '\0';
+    }
+}
+
+asio::awaitable<result<void>>
+job_ledger::save_pieces(std::string id, std::vector<ports::record_write> pieces)
+{
+    const known_job* known = this->view.find(id);
+    if (known == nullptr)
+    {
+        co_return make_missing_error(id);
+    }
+    ports::record_transaction request;
+    request.partition = known->partition;
+    request.conditions.push_back(
+        {std::string(job_table), id, known->record.version});
+    request.writes = std::move(pieces);
+    const result<ports::record_outcome> outcome =
+        co_await this->records.transact(std::move(request));
+    if (!outcome)
+    {
+        co_return outcome.error();
+    }
+    if (!outcome.value().committed)
+    {
+        for (const ports::record& found : outcome.value().conflicts)
+        {
+            this->view.take(found);
+        }
+        co_return make_error(
+            error_kind::conflict, "job " + id + ": it has changed");
+    }
+    co_return boost::outcome_v2::success();
+}
+
 std::vector<ports::record_write> job_ledger::make_text_writes(
     const std::string& id, std::int64_t position, std::string_view text) const
 {
--- a/servers/node/job_ledger.hpp
+++ b/servers/node/job_ledger.hpp
@@ -4,6 +4,7 @@
 #include "platform/platform.hpp"
 #include "policy/serving/serving.hpp"
 #include "ports/ports.hpp"
+#include "servers/node/job_records.hpp"
 #include "servers/node/job_view.hpp"
 #include "servers/node/table_watch.hpp"
 #include "servers/node/text_cache.hpp"
@@ -105,6 +106,20 @@
     boost::asio::awaitable<result<std::vector<platform::job_item>>>
     read_items(std::string id);
 
+    /// Pieces of the texts of a job's items, by item in the order of events.
+    using pieces_by_item =
+        std::map<std::int64_t, std::vector<serving::item_piece>>;
+
+    /// Reads the pieces that were saved of the items of a job. Errors:
+    /// not_found, unavailable, timeout.
+    boost::asio::awaitable<result<pieces_by_item>> read_pieces(std::string id);
+
+    /// Saves pieces, unless the job has changed since the view heard of it.
+    /// Errors: not_found; conflict when it has changed; those of
+    /// `record_store::transact`.
+    boost::asio::awaitable<result<void>>
+    save_pieces(std::string id, std::vector<ports::record_write> pieces);
+
     /// Makes the records that hold the text of a result.
     std::vector<ports::record_write> make_text_writes(
         const std::string& id,
--- a/servers/node/job_records.cpp
+++ b/servers/node/job_records.cpp
@@ -1,7 +1,9 @@
 #include "servers/node/job_records.hpp"
 
 #include <array>
+#include <charconv>
 #include <cstdio>
+#include <system_error>
 
 namespace chicory::node
 {
@@ -95,4 +97,51 @@
     return text;
 }
 
+std::string make_piece_key(
+    const std::string& id, std::int64_t item, std::int64_t first_event)
+{
+    std::array<char, 40> suffix{};
+    std::snprintf(
+        suffix.data(),
+        suffix.size(),
+        "/%06lld/%08lld",
+        static_cast<long long>(item),
+        static_cast<long long>(first_event));
+    return id + suffix.data();
+}
+
+std::vector<ports::record_write> make_piece_writes(
+    const std::string& id,
+    const std::vector<std::pair<std::int64_t, serving::item_piece>>& pieces)
+{
+    std::vector<ports::record_write> writes;
+    writes.reserve(pieces.size());
+    for (const auto& [item, piece] : pieces)
+    {
+        writes.push_back(
+            {std::string(piece_table),
+             make_piece_key(id, item, piece.first),
+             serving::encode_piece(piece)});
+    }
+    return writes;
+}
+
+std::optional<std::int64_t>
+read_piece_item(const std::string& id, std::string_view key)
+{
+    if (!key.starts_with(id + "/"))
+    {
+        return std::nullopt;
+    }
+    key.remove_prefix(id.size() + 1);
+    std::int64_t item = 0;
+    const auto [rest, code] =
+        std::from_chars(key.data(), key.data() + key.size(), item);
+    if (code != std::errc() || rest == key.data() + key.size() || *rest != '/')
+    {
+        return std::nullopt;
+    }
+    return item;
+}
+
 } // namespace chicory::node
--- a/servers/node/job_records.hpp
+++ b/servers/node/job_records.hpp
@@ -1,6 +1,7 @@
 #ifndef CHICORY_SERVERS_NODE_JOB_RECORDS_HPP
 #define CHICORY_SERVERS_NODE_JOB_RECORDS_HPP
 
+#include "policy/serving/serving.hpp"
 #include "ports/ports.hpp"
 
 #include <cstddef>
@@ -9,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace chicory::node
@@ -18,6 +20,8 @@
 inline constexpr std::string_view job_table = "jobs";
 inline constexpr std::string_view body_table = "job_bodies";
 inline constexpr std::string_view text_table = "job_texts";
+/// Pieces of the texts of items that run.
+inline constexpr std::string_view piece_table = "job_pieces";
 
 /// Key of the record that orders the acceptances of a route. No job has such
 /// an id.
@@ -53,6 +57,21 @@
     std::int64_t position,
     std::int64_t parts);
 
+/// Returns the key of the piece of an item's text behind so many events. The
+/// keys of a job's pieces are in the order of items and events.
+std::string make_piece_key(
+    const std::string& id, std::int64_t item, std::int64_t first_event);
+
+/// Makes the records that hold pieces of the texts of a job's items.
+std::vector<ports::record_write> make_piece_writes(
+    const std::string& id,
+    const std::vector<std::pair<std::int64_t, serving::item_piece>>& pieces);
+
+/// Returns the item that a piece of a job belongs to, or nothing for a key of
+/// another form.
+std::optional<std::int64_t>
+read_piece_item(const std::string& id, std::string_view key);
+
 } // namespace chicory::node
 
 #endif
--- a/servers/node/job_runner.cpp
+++ b/servers/node/job_runner.cpp
@@ -32,9 +32,13 @@
 /// Items of one node that wait for slots at once; all nodes together ask for
 /// as many as there are slots, and no coordinator orders thousands.
 constexpr std::size_t most_waiting_items = 12;
-/// Results and text records in one transaction of the store.
-constexpr std::size_t most_results = 40;
+/// Records and bytes of texts in one transaction, of which the store takes 100
+/// and 1 MB.
+constexpr std::size_t most_commit_records = 80;
 constexpr std::size_t most_commit_bytes = 500000;
+/// Work on an item that the loss of its node may cost at most, while the store
+/// serves. A save is one call for all items of a job.
+constexpr std::chrono::milliseconds save_interval(1000);
 
 } // namespace
 
@@ -94,9 +98,18 @@
 void job_runner::leave()
 {
     this->leaving = true;
+    const std::vector<serving::live_node> live = this->live_nodes();
     for (const auto& [id, job] : this->active)
     {
         this->stop(*job);
+        if (const std::optional<serving::live_node> successor =
+                serving::choose_owner(id, live))
+        {
+            net::spawn_guarded(
+                this->context.get_executor(),
+                "handing a job over",
+                this->hand_over(job, *successor));
+        }
     }
     this->active.clear();
 }
@@ -152,6 +165,7 @@
             this->ownership.owns(*job))
         {
             this->give_up_old(*entry->second, *job);
+            this->request_save(now, entry->second);
             if (!entry->second->finished.empty())
             {
                 this->request_commit(entry->second);
@@ -219,6 +233,7 @@
 asio::awaitable<void> job_runner::load(std::string id)
 {
     std::vector<platform::job_item> items;
+    job_ledger::pieces_by_item saved;
     if (const auto kept = this->accepted_items.find(id);
         kept != this->accepted_items.end())
     {
@@ -229,11 +244,14 @@
     {
         result<std::vector<platform::job_item>> read =
             co_await this->ledger.read_items(id);
-        if (!read)
+        result<job_ledger::pieces_by_item> pieces =
+            co_await this->ledger.read_pieces(id);
+        if (!read || !pieces)
         {
             log_event(
                 event::commit_deferred,
-                {{"job", id}, {"error", read.error().text}});
+                {{"job", id},
+                 {"error", read ? pieces.error().text : read.error().text}});
             asio::steady_timer pause(this->context);
             pause.expires_after(load_retry);
             co_await pause.async_wait(as_result);
@@ -241,6 +259,7 @@
             co_return;
         }
         items = std::move(read.value());
+        saved = std::move(pieces.value());
     }
     this->busy.erase(id);
     const serving::job_record* record = this->ledger.find(id);
@@ -252,6 +271,8 @@
     job->id = id;
     job->items = std::move(items);
     job->failures = record->failures;
+    job->saved = std::move(saved);
+    job->next_save = read_monotonic_clock() + duration(save_interval);
     this->active[id] = job;
     this->schedule();
 }
@@ -280,7 +301,8 @@
         }
         if (!this->is_finished(job, item))
         {
-            job.finished.push_back({item, serving::item_state::errored, ""});
+            job.finished.push_back(
+                {item, serving::item_state::errored, "", {}});
         }
     }
 }
@@ -382,7 +404,8 @@
         job->id,
         route.name,
         due,
-        due - route.completion_target + route.retention);
+        due - route.completion_target + route.retention,
+        job->saved[item]);
     net::spawn_guarded(
         this->context.get_executor(),
         "running an item",
@@ -403,7 +426,10 @@
         if (end == item_end::completed)
         {
             job->finished.push_back(
-                {item, serving::item_state::completed, run->progress().text()});
+                {item,
+                 serving::item_state::completed,
+                 run->progress().text(),
+                 run->progress().saved_pieces()});
             break;
         }
         serving::item_failures& counts = job->failures[item];
@@ -420,7 +446,11 @@
                  {"item", job->items.at(static_cast<std::size_t>(item)).id},
                  {"failed", counts.failed},
                  {"impossible", counts.impossible}});
-            job->finished.push_back({item, serving::item_state::errored, ""});
+            job->finished.push_back(
+                {item,
+                 serving::item_state::errored,
+                 "",
+                 run->progress().saved_pieces()});
             break;
         }
         this->request_commit(job);
@@ -473,15 +503,15 @@
         changed = changed || kept != before;
     }
     std::size_t bytes = 0;
-    std::size_t results = 0;
     for (const finished_item& entry : job.finished)
     {
         if (serving::is_listed(wanted.record, entry.item))
         {
             continue;
         }
-        if (results >= most_results ||
-            (results > 0 && bytes + entry.text.size() > most_commit_bytes))
+        if (!wanted.writes.empty() &&
+            (wanted.writes.size() >= most_commit_records ||
+             bytes + entry.text.size() > most_commit_bytes))
         {
             break;
         }
@@ -495,8 +525,14 @@
              static_cast<std::int64_t>(writes.size())});
         std::move(
             writes.begin(), writes.end(), std::back_inserter(wanted.writes));
+        for (const std::int64_t first : entry.pieces)
+        {
+            wanted.writes.push_back(
+                {std::string(piece_table),
+                 make_piece_key(job.id, entry.item, first),
+                 std::nullopt});
+        }
         bytes += entry.text.size();
-        ++results;
         changed = true;
     }
     if (!changed)
@@ -506,6 +542,107 @@
     return wanted;
 }
 
+job_runner::unsaved_pieces job_runner::collect_unsaved(const active_job& job)
+{
+    unsaved_pieces pieces;
+    std::size_t bytes = 0;
+    for (const auto& [item, run] : job.runs)
+    {
+        std::optional<serving::item_piece> piece = run->unsaved();
+        if (!piece)
+        {
+            continue;
+        }
+        bytes += piece->text.size();
+        if (pieces.size() >= most_commit_records ||
+            (!pieces.empty() && bytes > most_commit_bytes))
+        {
+            break;
+        }
+        pieces.emplace_back(item, std::move(*piece));
+    }
+    return pieces;
+}
+
+void job_runner::request_save(
+    time_point now, const std::shared_ptr<active_job>& job)
+{
+    if (job->saving || job->stopped || now < job->next_save)
+    {
+        return;
+    }
+    unsaved_pieces pieces = collect_unsaved(*job);
+    if (pieces.empty())
+    {
+        return;
+    }
+    job->saving = true;
+    net::spawn_guarded(
+        this->context.get_executor(),
+        "saving the texts of items",
+        this->save(job, std::move(pieces)));
+}
+
+asio::awaitable<void>
+job_runner::save(std::shared_ptr<active_job> job, unsaved_pieces pieces)
+{
+    const result<void> saved = co_await this->ledger.save_pieces(
+        job->id, make_piece_writes(job->id, pieces));
+    // A commit of results that came first changed the job; nothing was saved.
+    const bool again = !saved && saved.error().kind == error_kind::conflict;
+    job->next_save = read_monotonic_clock() +
+                     (again ? duration::zero() : duration(save_interval));
+    job->saving = false;
+    this->services.numbers.add(
+        saved ? "text_saves_total" : "text_saves_failed_total");
+    for (const auto& [item, piece] : pieces)
+    {
+        if (const auto run = job->runs.find(item);
+            saved && run != job->runs.end())
+        {
+            run->second->on_saved(piece);
+        }
+    }
+}
+
+asio::awaitable<void> job_runner::hand_over(
+    std::shared_ptr<active_job> job, serving::live_node successor)
+{
+    const std::vector<ports::record_write> pieces =
+        make_piece_writes(job->id, collect_unsaved(*job));
+    job_ledger::change_function give =
+        [&](const serving::job_record& record) -> std::optional<job_change>
+    {
+        if (!this->ownership.owns(record) || !serving::is_open(record))
+        {
+            return std::nullopt;
+        }
+        // Results that were not committed go along.
+        job_change wanted =
+            this->make_change(*job, record).value_or(job_change{record, {}});
+        wanted.record.owner = successor.id;
+        wanted.record.owner_incarnation = successor.incarnation;
+        if (wanted.writes.size() + pieces.size() <= most_commit_records)
+        {
+            std::copy(
+                pieces.begin(),
+                pieces.end(),
+                std::back_inserter(wanted.writes));
+        }
+        return wanted;
+    };
+    const result<serving::job_record> given =
+        co_await this->ledger.change(job->id, std::move(give), commit_limit);
+    if (given)
+    {
+        log_event(
+            event::job_handed_over,
+            {{"job", job->id},
+             {"to", given.value().owner},
+             {"pieces", static_cast<std::int64_t>(pieces.size())}});
+    }
+}
+
 asio::awaitable<void> job_runner::commit(std::shared_ptr<active_job> job)
 {
     asio::steady_timer pause(this->context);
--- a/servers/node/job_runner.hpp
+++ b/servers/node/job_runner.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chicory::node
@@ -57,6 +58,8 @@
         std::int64_t item = 0;
         serving::item_state state = serving::item_state::completed;
         std::string text;
+        /// Pieces of the text that the store keeps no longer than this.
+        std::vector<std::int64_t> pieces;
     };
     struct active_job
     {
@@ -66,6 +69,10 @@
         /// Failures of items, those before this node took the job included.
         std::map<std::int64_t, serving::item_failures> failures;
         std::vector<finished_item> finished;
+        /// What was saved of items that do not run here yet.
+        job_ledger::pieces_by_item saved;
+        time_point next_save;
+        bool saving = false;
         bool failures_changed = false;
         bool committing = false;
         bool stopped = false;
@@ -96,6 +103,17 @@
     make_change(const active_job& job, const serving::job_record& record) const;
     void give_up_old(active_job& job, const serving::job_record& record);
     void request_commit(const std::shared_ptr<active_job>& job);
+    /// Pieces of the items that run, with the items they belong to.
+    using unsaved_pieces =
+        std::vector<std::pair<std::int64_t, serving::item_piece>>;
+    static unsaved_pieces collect_unsaved(const active_job& job);
+    void request_save(time_point now, const std::shared_ptr<active_job>& job);
+    boost::asio::awaitable<void>
+    save(std::shared_ptr<active_job> job, unsaved_pieces pieces);
+    /// Gives a job of this node, which is leaving, to another one with all
+    /// that was done.
+    boost::asio::awaitable<void>
+    hand_over(std::shared_ptr<active_job> job, serving::live_node successor);
 
     boost::asio::io_context& context;
     boost::asio::steady_timer timer;
--- /dev/null
+++ b/tests/policy/serving/item_piece_test.cpp
@@ -0,0 +1,132 @@
+#include "policy/serving/serving.hpp"
+#include "tests/support/mutate.hpp"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <random>
+
+namespace chicory::serving
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Takes what is not saved as the store does: by its encoded text.
+item_piece save(item_progress& progress)
+{
+    const std::optional<item_piece> piece = progress.unsaved();
+    EXPECT_TRUE(piece.has_value());
+    progress.on_saved(*piece);
+    return decode_piece(encode_piece(*piece)).value();
+}
+
+item_piece make_piece()
+{
+    item_piece piece;
+    piece.first = 3;
+    piece.digest_before = 0xfedcba9876543210;
+    piece.events = 2;
+    piece.last_id = "5";
+    piece.text = "line\n\n\"quoted\" \xc3\xa9";
+    piece.worked = 1500ms;
+    return piece;
+}
+
+TEST(item_piece_test, is_read_as_it_was_written)
+{
+    const item_piece piece = make_piece();
+    EXPECT_EQ(decode_piece(encode_piece(piece)).value(), piece);
+}
+
+TEST(item_piece_fuzz_test, a_damaged_piece_is_an_error_or_a_piece)
+{
+    const std::string sound = encode_piece(make_piece());
+    std::mt19937_64 generator(20261204);
+    const std::uint64_t rounds = testing_support::fuzz_rounds();
+    for (std::uint64_t round = 0; round < rounds; ++round)
+    {
+        const result<item_piece> read =
+            decode_piece(testing_support::mutate(sound, generator));
+        if (read)
+        {
+            EXPECT_GE(read.value().first, 0);
+            EXPECT_GT(read.value().events, 0);
+        }
+        else
+        {
+            EXPECT_EQ(read.error().kind, error_kind::invalid_input);
+        }
+    }
+}
+
+// Load pattern: all nodes lose power with items under way.
+TEST(item_progress_test, goes_on_from_what_was_saved)
+{
+    item_progress before;
+    EXPECT_FALSE(before.unsaved());
+    before.begin_run();
+    EXPECT_TRUE(before.take("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+    const item_piece first = save(before);
+    EXPECT_FALSE(before.unsaved());
+    EXPECT_TRUE(before.take("id: 3\ndata:\n\nid: 4\nda"));
+    const item_piece second = save(before);
+    EXPECT_EQ(second.first, 2);
+    EXPECT_EQ(second.events, 1);
+    item_progress after;
+    after.restore({first, second});
+    EXPECT_EQ(after.text(), "a\nb\n");
+    EXPECT_EQ(after.text(), before.text());
+    EXPECT_EQ(after.events(), 3);
+    EXPECT_EQ(after.last_event_id(), "3");
+    EXPECT_FALSE(after.unsaved());
+    after.begin_run();
+    EXPECT_TRUE(after.take("id: 4\ndata: d\n\n"));
+    EXPECT_EQ(after.text(), "a\nb\n\nd");
+    EXPECT_EQ(save(after).first, 3);
+    EXPECT_EQ(after.saved_pieces(), (std::vector<std::int64_t>{0, 2, 3}));
+}
+
+// A write that was thought lost may take effect later, over a longer piece.
+TEST(item_progress_test, a_piece_that_follows_another_text_is_left_out)
+{
+    item_progress one;
+    one.begin_run();
+    EXPECT_TRUE(one.take("id: 1\ndata: a\n\n"));
+    const item_piece first = save(one);
+    item_progress other = one;
+    EXPECT_TRUE(one.take("id: 2\ndata: b\n\n"));
+    const item_piece second = save(one);
+    EXPECT_TRUE(one.take("id: 3\ndata: c\n\n"));
+    const item_piece third = save(one);
+    EXPECT_TRUE(other.take("id: 2\ndata: x\n\n"));
+    const item_piece replaced = save(other);
+    item_progress mixed;
+    mixed.restore({first, replaced, third});
+    EXPECT_EQ(mixed.text(), "a\nx");
+    EXPECT_EQ(mixed.last_event_id(), "2");
+    item_progress gap;
+    gap.restore({first, third});
+    EXPECT_EQ(gap.text(), "a");
+    item_progress whole;
+    whole.restore({first, second, third});
+    EXPECT_EQ(whole.text(), "a\nb\nc");
+}
+
+TEST(item_progress_test, a_text_that_began_anew_is_not_saved)
+{
+    item_progress progress;
+    progress.begin_run();
+    EXPECT_TRUE(progress.take("id: 1\ndata: a\n\n"));
+    save(progress);
+    progress.restart();
+    EXPECT_TRUE(progress.take("id: 1\ndata: b\n\n"));
+    EXPECT_FALSE(progress.unsaved());
+    EXPECT_EQ(progress.saved_pieces(), (std::vector<std::int64_t>{0}));
+}
+
+} // namespace
+
+} // namespace chicory::serving
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -12,6 +12,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <csignal>
 #include <functional>
 #include <memory>
 
@@ -755,6 +756,77 @@
     this->wait_for_results("j1", 2);
 }
 
+// Load pattern: a loss of power with items under way that take seconds.
+TEST_F(node_process_test, a_node_that_starts_anew_goes_on_with_saved_texts)
+{
+    this->start_serving();
+    this->first.events = 3000;
+    ASSERT_EQ(this->submit("j1"), 202);
+    this->wait_until(
+        [this]
+        {
+            return this->store.count("job_pieces") >= 2;
+        });
+    const std::size_t before = this->first.arrivals.size();
+    node_settings again = this->settings;
+    for (net::endpoint* listened :
+         {&again.requests, &again.readiness, &again.entry_addresses})
+    {
+        listened->port = process::find_free_port();
+    }
+    again.gossip_port = process::find_free_port();
+    again.slot_port = process::find_free_port();
+    again.peer_port = process::find_free_port();
+    node_process next(this->io, again);
+    ASSERT_TRUE(next.start());
+    this->wait_until(
+        [&]
+        {
+            return this->first.arrivals.size() >= before + 2;
+        });
+    for (std::size_t index = before; index < before + 2; ++index)
+    {
+        EXPECT_GT(this->first.arrivals[index].after, 0);
+    }
+    this->wait_for_results("j1", 2);
+    std::string expected = "text 1";
+    for (int number = 2; number <= 3000; ++number)
+    {
+        expected += "\ntext " + std::to_string(number);
+    }
+    this->expect_in_results("j1", "text", expected.c_str());
+    EXPECT_EQ(this->store.count("job_pieces"), 0U);
+}
+
+// Load pattern: a rolling restart with items under way.
+TEST_F(node_process_test, a_node_that_stops_hands_its_jobs_over)
+{
+    // Nobody answers under this name, but the node hears of it.
+    membership::vm other;
+    other.id = "vm-2";
+    other.role = membership::vm_role::entry;
+    other.incarnation = 7;
+    other.region = "r1";
+    other.zone = "z1";
+    other.address = "127.0.0.1";
+    other.http_port = 1;
+    this->store.put("nodes", "", other.id, to_text(other));
+    this->start_serving();
+    this->first.events = 100000;
+    ASSERT_EQ(this->submit("j1"), 202);
+    this->wait_for_arrivals(2);
+    this->io.run_for(50ms);
+    ASSERT_EQ(std::raise(SIGTERM), 0);
+    this->wait_until(
+        [this]
+        {
+            return this->store.value("jobs", "j1")
+                       .find(R"("owner":"vm-2","owner_incarnation":7)") !=
+                   std::string::npos;
+        });
+    EXPECT_EQ(this->store.count("job_pieces"), 2U);
+}
+
 // Load pattern: all nodes are killed while the clock of one jumps back. Only
 // the store knows of its earlier process, which owned jobs.
 TEST_F(node_process_test, a_node_whose_clock_jumped_back_starts_later)
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -102,8 +102,14 @@
 std::string
 store_standin::value(const std::string& table, const std::string& key) const
 {
-    const auto found = this->rows.find({table, "", key});
-    return found == this->rows.end() ? std::string() : found->second.value;
+    for (const auto& [name, row] : this->rows)
+    {
+        if (std::get<0>(name) == table && std::get<2>(name) == key)
+        {
+            return row.value;
+        }
+    }
+    return std::string();
 }
 
 std::size_t store_standin::count(const std::string& table) const
--- a/tests/standins/store_standin.hpp
+++ b/tests/standins/store_standin.hpp
@@ -52,7 +52,7 @@
     /// Forgets all changes so far: who follows older ones must read anew.
     void forget_history();
 
-    /// Value of a record; empty when there is none.
+    /// Value of a record in any partition; empty when there is none.
     std::string value(const std::string& table, const std::string& key) const;
 
     /// Number of records in a table.
