Slots: Doubt runners that answer that runs failed, and run again what may

Change: such an answer gives its slot back as failed, no longer as completed. The share of failed runs is kept for each runner (failure_share); from three in a row on it gets one run at a time after a growing pause, behind the runners that are trusted, until its share has halved. An item that failed elsewhere too blames no runner. A request that may run again does so after a failed run. Listing a result also removes a piece whose save is under way, which a test showed to stay.

--- a/core/reason.hpp
+++ b/core/reason.hpp
@@ -37,6 +37,7 @@
     runner_leaving,
     runner_refused,
     runner_crashed,
+    runner_failed,
     runner_unreachable,
     owner_unreachable,
     link_silent,
@@ -60,7 +61,7 @@
     weight_store_limited,
 };
 
-inline constexpr enum_table<reason, 38> reason_names = {{
+inline constexpr enum_table<reason, 39> reason_names = {{
     {reason::invalid_request, "invalid_request"},
     {reason::body_too_large, "body_too_large"},
     {reason::unauthenticated, "unauthenticated"},
@@ -82,6 +83,7 @@
     {reason::runner_leaving, "runner_leaving"},
     {reason::runner_refused, "runner_refused"},
     {reason::runner_crashed, "runner_crashed"},
+    {reason::runner_failed, "runner_failed"},
     {reason::runner_unreachable, "runner_unreachable"},
     {reason::owner_unreachable, "owner_unreachable"},
     {reason::link_silent, "link_silent"},
--- a/policy/serving/item_progress.cpp
+++ b/policy/serving/item_progress.cpp
@@ -103,6 +103,11 @@
     return this->saved;
 }
 
+std::int64_t item_progress::next_piece() const
+{
+    return this->saved_events;
+}
+
 bool item_progress::take(std::string_view bytes)
 {
     for (const stream_event& event : read_events(this->splitter.cut(bytes)))
--- a/policy/serving/item_progress.hpp
+++ b/policy/serving/item_progress.hpp
@@ -39,8 +39,10 @@
     /// Takes that the store keeps a piece that `unsaved` returned.
     void on_saved(const item_piece& piece);
 
-    /// Numbers of events before each piece that the store keeps.
+    /// Numbers of events before each piece that the store keeps, and before
+    /// the next one.
     const std::vector<std::int64_t>& saved_pieces() const;
+    std::int64_t next_piece() const;
 
     /// Takes bytes of the run. Returns false when an event does not follow
     /// the one before; the run must end then, and nothing of it is taken
--- a/policy/serving/runner_slots.cpp
+++ b/policy/serving/runner_slots.cpp
@@ -18,9 +18,14 @@
     }
     for (const slot_runner& runner : usable)
     {
-        runner_use& use = this->runners[runner.id];
+        const auto [entry, added] = this->runners.try_emplace(runner.id);
+        runner_use& use = entry->second;
         use.runner = runner;
         use.usable = true;
+        if (added)
+        {
+            use.failures = failure_share(this->settings.failures);
+        }
     }
     std::erase_if(
         this->runners,
@@ -37,6 +42,7 @@
     {
         entry->second.runner.id = runner;
         entry->second.usable = false;
+        entry->second.failures = failure_share(this->settings.failures);
     }
     ++entry->second.used;
 }
@@ -64,6 +70,11 @@
     case slot_outcome::completed:
         use.suspect_since.reset();
         use.last_progress = now;
+        use.failures.on_success(now);
+        break;
+    case slot_outcome::failed:
+        use.last_progress = now;
+        use.failures.on_failure(now);
         break;
     case slot_outcome::unreachable:
     case slot_outcome::broken:
@@ -110,7 +121,11 @@
 bool runner_slots::may_use(
     time_point now, const runner_use& use, const slot_request& request) const
 {
-    if (!use.usable || now < use.paused_until)
+    if (!use.usable || now < use.paused_until || use.failures.is_paused(now))
+    {
+        return false;
+    }
+    if (use.used > 0 && use.failures.is_doubtful(now))
     {
         return false;
     }
@@ -132,7 +147,7 @@
 {
     const runner_use* best = nullptr;
     // The own zone goes first, then the runner with the most idle slots.
-    std::tuple<bool, std::int64_t> best_rank;
+    std::tuple<bool, bool, std::int64_t> best_rank;
     for (const auto& [id, use] : this->runners)
     {
         const std::int64_t idle = use.runner.slots - use.used;
@@ -140,8 +155,10 @@
         {
             continue;
         }
-        const std::tuple<bool, std::int64_t> rank(
-            use.runner.zone == request.zone, idle);
+        const std::tuple<bool, bool, std::int64_t> rank(
+            !use.failures.is_doubtful(now),
+            use.runner.zone == request.zone,
+            idle);
         if (best == nullptr || rank > best_rank)
         {
             best = &use;
--- a/policy/serving/runner_slots.hpp
+++ b/policy/serving/runner_slots.hpp
@@ -1,6 +1,7 @@
 #ifndef CHICORY_POLICY_SERVING_RUNNER_SLOTS_HPP
 #define CHICORY_POLICY_SERVING_RUNNER_SLOTS_HPP
 
+#include "policy/serving/failure_share.hpp"
 #include "policy/serving/slot_messages.hpp"
 
 #include <chrono>
@@ -26,6 +27,7 @@
     /// A suspect runner is tried with work that may be repeated; where there
     /// is none, with any work after this time.
     duration suspect_time = std::chrono::seconds(2);
+    failure_share_settings failures;
 };
 
 /// A runner with the slots that may be used.
@@ -41,7 +43,8 @@
 /// Counts the slots in use at each runner of a service and judges which
 /// runners may get new work. Answers the load pattern of runners that fail or
 /// go silent with requests under way, whose connections stay: they get no more
-/// work until a run is completed there.
+/// work until a run is completed there. For runners that answer and fail, see
+/// `failure_share`.
 class runner_slots
 {
 public:
@@ -62,7 +65,7 @@
     void note_silence(time_point now, const std::vector<held_slot>& held);
 
     /// Returns the runner with an idle slot for a request, the best first by
-    /// its zone and idle slots; nothing when none has.
+    /// whether it is trusted, its zone and idle slots; nothing when none has.
     std::optional<std::string>
     choose_free(time_point now, const slot_request& request) const;
 
@@ -91,6 +94,7 @@
         /// When a node last had bytes from the runner.
         time_point last_progress;
         time_point paused_until;
+        failure_share failures;
     };
 
     bool may_use(
--- a/policy/serving/slot_messages.hpp
+++ b/policy/serving/slot_messages.hpp
@@ -106,9 +106,11 @@
     cancelled,
     /// The slot was not used.
     unused,
+    /// The runner answered that the run failed.
+    failed,
 };
 
-inline constexpr enum_table<slot_outcome, 7> slot_outcome_names = {{
+inline constexpr enum_table<slot_outcome, 8> slot_outcome_names = {{
     {slot_outcome::completed, "completed"},
     {slot_outcome::refused, "refused"},
     {slot_outcome::unreachable, "unreachable"},
@@ -116,6 +118,7 @@
     {slot_outcome::crashed, "crashed"},
     {slot_outcome::cancelled, "cancelled"},
     {slot_outcome::unused, "unused"},
+    {slot_outcome::failed, "failed"},
 }};
 
 /// What the coordinator decided on a request or a slot in use.
--- a/servers/node/item_run.cpp
+++ b/servers/node/item_run.cpp
@@ -261,7 +261,13 @@
         }
         co_return co_await this->read_text(slot);
     }
-    this->services.slots.release(slot.id, serving::slot_outcome::completed);
+    // An item that failed elsewhere too says nothing of this runner.
+    const bool blames_runner =
+        status >= status_failed && !std::exchange(this->has_failed, true);
+    this->services.slots.release(
+        slot.id,
+        blames_runner ? serving::slot_outcome::failed
+                      : serving::slot_outcome::completed);
     if (status == status_impossible)
     {
         co_return step::impossible;
--- a/servers/node/item_run.hpp
+++ b/servers/node/item_run.hpp
@@ -108,6 +108,8 @@
     bool stopped = false;
     bool yielding = false;
     bool has_slot = false;
+    /// True after a runner answered that the item failed.
+    bool has_failed = false;
 };
 
 } // namespace chicory::node
--- a/servers/node/job_runner.cpp
+++ b/servers/node/job_runner.cpp
@@ -429,7 +429,7 @@
                 {item,
                  serving::item_state::completed,
                  run->progress().text(),
-                 run->progress().saved_pieces()});
+                 list_pieces(*job, run->progress())});
             break;
         }
         serving::item_failures& counts = job->failures[item];
@@ -450,7 +450,7 @@
                 {item,
                  serving::item_state::errored,
                  "",
-                 run->progress().saved_pieces()});
+                 list_pieces(*job, run->progress())});
             break;
         }
         this->request_commit(job);
@@ -542,6 +542,19 @@
     return wanted;
 }
 
+std::vector<std::int64_t> job_runner::list_pieces(
+    const active_job& job, const serving::item_progress& progress)
+{
+    std::vector<std::int64_t> pieces = progress.saved_pieces();
+    if (job.saving)
+    {
+        // A save that is under way may still write it before the listing; one
+        // that comes after the listing fails on the job's version.
+        pieces.push_back(progress.next_piece());
+    }
+    return pieces;
+}
+
 job_runner::unsaved_pieces job_runner::collect_unsaved(const active_job& job)
 {
     unsaved_pieces pieces;
--- a/servers/node/job_runner.hpp
+++ b/servers/node/job_runner.hpp
@@ -107,6 +107,9 @@
     using unsaved_pieces =
         std::vector<std::pair<std::int64_t, serving::item_piece>>;
     static unsaved_pieces collect_unsaved(const active_job& job);
+    /// Returns the pieces of an item to remove when it is listed.
+    static std::vector<std::int64_t>
+    list_pieces(const active_job& job, const serving::item_progress& progress);
     void request_save(time_point now, const std::shared_ptr<active_job>& job);
     boost::asio::awaitable<void>
     save(std::shared_ptr<active_job> job, unsaved_pieces pieces);
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -12,6 +12,7 @@
 namespace
 {
 
+constexpr int status_failed = 500;
 constexpr int status_bad_gateway = 502;
 constexpr int status_gateway_timeout = 504;
 /// Runners that may refuse a request, or be out of reach, before it is
@@ -404,7 +405,24 @@
         co_return co_await this->take_failure(slot.runner, broken);
     }
     answer.body = std::move(whole.value());
-    this->release(slot, serving::slot_outcome::completed);
+    const bool failed = answer.status >= status_failed &&
+                        answer.status != status_gateway_timeout;
+    this->release(
+        slot,
+        failed ? serving::slot_outcome::failed
+               : serving::slot_outcome::completed);
+    if (failed && serving::is_repeatable(this->route) &&
+        this->runs < this->route.max_attempts)
+    {
+        this->failed_runners.push_back(slot.runner);
+        log_event(
+            event::attempt_failed,
+            {{"request", this->terms.attempt_id},
+             {"runner", slot.runner},
+             {"error", "status " + std::to_string(answer.status)}});
+        this->services.numbers.count_retry(reason::runner_failed);
+        co_return step::again;
+    }
     this->note_first_piece();
     this->services.numbers.add("requests_completed_total");
     log_event(
--- /dev/null
+++ b/tests/policy/serving/failing_runners_test.cpp
@@ -0,0 +1,162 @@
+#include "policy/serving/serving.hpp"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace chicory::serving
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const time_point start = time_point() + 1h;
+constexpr int runner_count = 10;
+constexpr duration online_run = 700ms;
+constexpr duration failed_run = 1ms;
+
+/// Ten runners before a steady stream of online requests. Runners that are
+/// named as failing answer each request with a failure at once.
+class failing_fleet
+{
+public:
+    failing_fleet()
+    {
+        std::vector<slot_runner> runners;
+        for (int index = 0; index < runner_count; ++index)
+        {
+            runners.push_back({"r" + std::to_string(index), "z1", 8});
+        }
+        this->scheduler.set_runners(start, runners);
+    }
+
+    /// Plays requests at this rate a second and returns how many failed.
+    int play(time_point from, duration length, int rate, int failing)
+    {
+        const duration gap = duration(1s) / rate;
+        this->failures = 0;
+        for (time_point now = from; now < from + length; now += gap)
+        {
+            this->end_runs(now);
+            slot_request request;
+            request.id = {"a", 1, ++this->number};
+            request.group.service = "chat";
+            request.zone = "z1";
+            request.on_time_left = 300ms;
+            request.time_left = 5s;
+            request.request_digest = this->number;
+            for (const slot_verdict& verdict :
+                 this->scheduler.on_request(now, request))
+            {
+                this->take(now, verdict, failing);
+            }
+        }
+        return this->failures;
+    }
+
+    std::map<std::string, int> placed;
+
+private:
+    void take(time_point now, const slot_verdict& verdict, int failing)
+    {
+        if (verdict.kind != verdict_kind::granted)
+        {
+            return;
+        }
+        ++this->placed[verdict.runner];
+        const bool fails = verdict.runner < "r" + std::to_string(failing);
+        this->failures += fails ? 1 : 0;
+        this->runs.emplace(
+            now + (fails ? failed_run : online_run),
+            std::pair(
+                verdict.id,
+                fails ? slot_outcome::failed : slot_outcome::completed));
+    }
+
+    void end_runs(time_point now)
+    {
+        while (!this->runs.empty() && this->runs.begin()->first <= now)
+        {
+            const auto [at, run] = *this->runs.begin();
+            this->runs.erase(this->runs.begin());
+            this->scheduler.on_release(at, run.first, run.second);
+        }
+    }
+
+    slot_scheduler scheduler;
+    std::multimap<time_point, std::pair<slot_id, slot_outcome>> runs;
+    std::uint64_t number = 0;
+    int failures = 0;
+};
+
+// Load pattern: a tenth of the runners say that they are sound and fail at once
+// all that they are sent, so that they are always idle.
+TEST(failing_runners_test, a_runner_that_fails_at_once_draws_no_requests)
+{
+    failing_fleet fleet;
+    EXPECT_EQ(fleet.play(start, 2s, 60, 0), 0);
+    const int failures = fleet.play(start + 2s, 5s, 60, 1);
+    // Less than what the runner would have had of sound answers.
+    EXPECT_LT(failures, 5 * 60 / runner_count);
+}
+
+TEST(failing_runners_test, a_runner_that_was_mended_gets_its_share_again)
+{
+    failing_fleet fleet;
+    fleet.play(start, 5s, 60, 1);
+    fleet.play(start + 5s, 10s, 60, 0);
+    fleet.placed.clear();
+    fleet.play(start + 15s, 5s, 60, 0);
+    EXPECT_GT(fleet.placed["r0"], 5 * 60 / runner_count / 2);
+}
+
+TEST(failure_share_test, some_failures_among_many_runs_raise_no_doubt)
+{
+    failure_share share;
+    time_point now = start;
+    for (int run = 1; run <= 200; ++run)
+    {
+        now += 100ms;
+        if (run % 10 == 0)
+        {
+            share.on_failure(now);
+        }
+        else
+        {
+            share.on_success(now);
+        }
+        EXPECT_FALSE(share.is_doubtful(now));
+        EXPECT_FALSE(share.is_paused(now));
+    }
+}
+
+TEST(
+    failure_share_test, pauses_grow_while_a_runner_fails_and_end_with_a_success)
+{
+    failure_share share;
+    time_point now = start;
+    for (int run = 0; run < 3; ++run)
+    {
+        share.on_failure(now);
+    }
+    EXPECT_TRUE(share.is_doubtful(now));
+    EXPECT_TRUE(share.is_paused(now + 399ms));
+    EXPECT_FALSE(share.is_paused(now + 400ms));
+    now += 400ms;
+    share.on_failure(now);
+    EXPECT_TRUE(share.is_paused(now + 799ms));
+    EXPECT_FALSE(share.is_paused(now + 800ms));
+    // A doubt that nothing confirms ends.
+    EXPECT_FALSE(share.is_doubtful(now + 10s));
+}
+
+} // namespace
+
+} // namespace chicory::serving
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -316,6 +316,21 @@
     EXPECT_EQ(this->first.arrivals.size() + this->second.arrivals.size(), 1U);
 }
 
+// Load pattern: runners that answer at once that the run failed.
+TEST_F(node_process_test, what_may_run_again_does_so_after_a_failed_run)
+{
+    this->start_serving();
+    this->register_runner(this->second, "ready");
+    this->first.status = 500;
+    for (int number = 0; number < 20; ++number)
+    {
+        const std::string attempt = "t" + std::to_string(number);
+        EXPECT_EQ(this->ask("/go-on/1", attempt, attempt).status, 200);
+    }
+    EXPECT_FALSE(this->first.arrivals.empty());
+    EXPECT_EQ(this->second.arrivals.size(), 20U);
+}
+
 TEST_F(node_process_test, a_draining_runner_gets_no_new_work)
 {
     this->start_serving();
