--- a/servers/node/job_runner.hpp
+++ b/servers/node/job_runner.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -78,6 +79,14 @@
         bool stopped = false;
     };
 
+    /// Time that a change of a job is tried, and between two reads of one that
+    /// could not be read.
+    static constexpr std::chrono::milliseconds commit_limit{1500};
+    static constexpr std::chrono::milliseconds load_retry{200};
+    /// Work on an item that the loss of its node may cost at most, while the
+    /// store serves. A save is one call for all items of a job.
+    static constexpr std::chrono::milliseconds save_interval{1000};
+
     void schedule();
     void tick();
     void review(time_point now);
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -93,6 +93,22 @@
             });
     }
 
+    /// Settings of the next process of the same VM, which listens elsewhere
+    /// since the one before still does.
+    node_settings make_next_settings() const
+    {
+        node_settings next = this->settings;
+        for (net::endpoint* listened :
+             {&next.requests, &next.readiness, &next.entry_addresses})
+        {
+            listened->port = process::find_free_port();
+        }
+        next.gossip_port = process::find_free_port();
+        next.slot_port = process::find_free_port();
+        next.peer_port = process::find_free_port();
+        return next;
+    }
+
     void
     register_runner(const standins::engine_standin& runner, const char* state)
     {
@@ -753,14 +769,7 @@
     // A second node under the same name stands for the next process: the
     // first one is not told, as after a loss of power.
     const std::size_t before = this->first.arrivals.size();
-    node_settings again = this->settings;
-    again.requests.port = process::find_free_port();
-    again.readiness.port = process::find_free_port();
-    again.entry_addresses.port = process::find_free_port();
-    again.gossip_port = process::find_free_port();
-    again.slot_port = process::find_free_port();
-    again.peer_port = process::find_free_port();
-    node_process next(this->io, again);
+    node_process next(this->io, this->make_next_settings());
     ASSERT_TRUE(next.start());
     this->first.events = 4;
     this->wait_until(
@@ -783,16 +792,7 @@
             return this->store.count("job_pieces") >= 2;
         });
     const std::size_t before = this->first.arrivals.size();
-    node_settings again = this->settings;
-    for (net::endpoint* listened :
-         {&again.requests, &again.readiness, &again.entry_addresses})
-    {
-        listened->port = process::find_free_port();
-    }
-    again.gossip_port = process::find_free_port();
-    again.slot_port = process::find_free_port();
-    again.peer_port = process::find_free_port();
-    node_process next(this->io, again);
+    node_process next(this->io, this->make_next_settings());
     ASSERT_TRUE(next.start());
     this->wait_until(
         [&]
