Job runner: Collect what a stopping node hands over before its runs end

A run that is stopped leaves its job as soon as its connection has closed, which may be before the hand-over begins; its text since the last save was lost then.

--- a/servers/node/job_runner.cpp
+++ b/servers/node/job_runner.cpp
@@ -89,6 +89,8 @@
     const std::vector<serving::live_node> live = this->live_nodes();
     for (const auto& [id, job] : this->active)
     {
+        // Runs that are stopped leave the job one by one.
+        unsaved_pieces pieces = collect_unsaved(*job);
         this->stop(*job);
         if (const std::optional<serving::live_node> successor =
                 serving::choose_owner(id, live))
@@ -96,7 +98,7 @@
             net::spawn_guarded(
                 this->context.get_executor(),
                 "handing a job over",
-                this->hand_over(job, *successor));
+                this->hand_over(job, std::move(pieces), *successor));
         }
     }
     this->active.clear();
--- a/servers/node/job_runner.hpp
+++ b/servers/node/job_runner.hpp
@@ -124,8 +124,10 @@
     save(std::shared_ptr<active_job> job, unsaved_pieces pieces);
     /// Gives a job of this node, which is leaving, to another one with all
     /// that was done.
-    boost::asio::awaitable<void>
-    hand_over(std::shared_ptr<active_job> job, serving::live_node successor);
+    boost::asio::awaitable<void> hand_over(
+        std::shared_ptr<active_job> job,
+        unsaved_pieces pieces,
+        serving::live_node successor);
 
     boost::asio::io_context& context;
     boost::asio::steady_timer timer;
--- a/servers/node/job_runner_commits.cpp
+++ b/servers/node/job_runner_commits.cpp
@@ -178,10 +178,12 @@
 }
 
 asio::awaitable<void> job_runner::hand_over(
-    std::shared_ptr<active_job> job, serving::live_node successor)
+    std::shared_ptr<active_job> job,
+    unsaved_pieces pieces,
+    serving::live_node successor)
 {
-    const std::vector<ports::record_write> pieces =
-        make_piece_writes(job->id, collect_unsaved(*job));
+    const std::vector<ports::record_write> writes =
+        make_piece_writes(job->id, pieces);
     job_ledger::change_function give =
         [&](const serving::job_record& record) -> std::optional<job_change>
     {
@@ -194,11 +196,11 @@
             this->make_change(*job, record).value_or(job_change{record, {}});
         wanted.record.owner = successor.id;
         wanted.record.owner_incarnation = successor.incarnation;
-        if (wanted.writes.size() + pieces.size() <= most_commit_records)
+        if (wanted.writes.size() + writes.size() <= most_commit_records)
         {
             std::copy(
-                pieces.begin(),
-                pieces.end(),
+                writes.begin(),
+                writes.end(),
                 std::back_inserter(wanted.writes));
         }
         return wanted;
