--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -459,7 +459,7 @@
 TEST_F(endless_runner_test, a_stream_that_may_be_resumed_goes_on_elsewhere)
 {
     this->start_with("text/event-stream", "x");
-    // Of the runners the one in trouble is taken first or not at all.
+    // The coordinator may choose the second runner for the first requests.
     this->register_runner(this->second, "ready");
     this->wait_until(
         [this]
