Jobs: List an item however many pieces were saved of it

Found while reading the change: the removals of an item's pieces went into the transaction that lists it, without a bound. The store takes 100 entries; an item that worked for 80 s and more would have been refused at each commit and never been listed. Removals now stop at the bound of the transaction; a piece that stays does no harm, for its item is listed.

The store's stand-in refuses more than 100 entries, as the users' store does; with that node_process_test.an_item_of_many_pieces_is_listed failed before (no result within 20 s) and passes now. 37 tests of servers_node_test pass, format and layers too.

--- a/servers/node/job_runner_commits.cpp
+++ b/servers/node/job_runner_commits.cpp
@@ -86,6 +86,11 @@
             writes.begin(), writes.end(), std::back_inserter(wanted.writes));
         for (const std::int64_t first : entry.pieces)
         {
+            if (wanted.writes.size() >= most_commit_records)
+            {
+                // The listing matters; a piece that stays does no harm.
+                break;
+            }
             wanted.writes.push_back(
                 {std::string(piece_table),
                  make_piece_key(job.id, entry.item, first),
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -813,6 +813,35 @@
     EXPECT_EQ(this->store.count("job_pieces"), 0U);
 }
 
+// Load pattern: an item that takes minutes and was saved each second.
+TEST_F(node_process_test, an_item_of_many_pieces_is_listed)
+{
+    this->start_serving();
+    this->first.events = 100000;
+    ASSERT_EQ(this->submit("j1"), 202);
+    this->wait_for_arrivals(2);
+    serving::item_piece piece;
+    piece.events = 1;
+    for (piece.first = 200000; piece.first < 200150; ++piece.first)
+    {
+        this->store.put(
+            "job_pieces",
+            make_partition("jobs"),
+            make_piece_key("j1", 0, piece.first),
+            serving::encode_piece(piece));
+    }
+    const std::size_t before = this->first.arrivals.size();
+    node_process next(this->io, this->make_next_settings());
+    ASSERT_TRUE(next.start());
+    this->first.events = 4;
+    this->wait_until(
+        [&]
+        {
+            return this->first.arrivals.size() >= before + 2;
+        });
+    this->wait_for_results("j1", 2);
+}
+
 // Load pattern: a rolling restart with items under way.
 TEST_F(node_process_test, a_node_that_stops_hands_its_jobs_over)
 {
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -19,6 +19,8 @@
 namespace
 {
 
+/// Entries of a transaction, as the users' store takes them.
+constexpr std::size_t most_entries = 100;
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t largest_body = 8 << 20;
 constexpr std::string_view object_put = "/-/blob-put/";
@@ -214,6 +216,15 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
+    const std::size_t entries = call.at("expected_rev").as_array().size() +
+                                call.at("put").as_array().size() +
+                                call.at("remove").as_array().size();
+    if (entries > most_entries)
+    {
+        co_await exchange.respond(
+            net::make_text_response(400, "too many entries"));
+        co_return;
+    }
     ++this->version;
     ++this->transactions;
     for (const json::value& row : call.at("put").as_array())
