Node: Log outcome, fingerprint and parts of a failed attempt

The log of a cut run could not tell whether runs that end runners have a part of their prompt in common, how their end was told to the coordinator, or whether they had begun to answer. attempt_failed names the outcome, the digest of the request, the digests of its shared parts (combined with the route's host) and the last event. No decision changes.

--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -51,6 +51,8 @@
         this->body,
         hash_bytes(
             this->parameters.prompt_parts, hash_bytes(caller.head().target)));
+    this->parts = serving::digest_parts(
+        initial_route.host, this->parameters.shared_parts);
 }
 
 asio::awaitable<void> online_call::run()
@@ -227,11 +229,7 @@
     const std::string& runner, const runner_outcome& outcome)
 {
     this->failed_runners.push_back(runner);
-    log_event(
-        event::attempt_failed,
-        {{"request", this->parameters.attempt_id},
-         {"runner", runner},
-         {"error", outcome.failure}});
+    this->log_failed_attempt(runner, to_slot_outcome(outcome), outcome.failure);
     if (outcome.delivery == delivery_outcome::unknown)
     {
         ++this->runs;
@@ -258,6 +256,23 @@
     co_return step::retry;
 }
 
+void online_call::log_failed_attempt(
+    const std::string& runner,
+    serving::slot_outcome outcome,
+    const std::string& failure) const
+{
+    log_event(
+        event::attempt_failed,
+        {{"request", this->parameters.attempt_id},
+         {"runner", runner},
+         {"outcome",
+          std::string(find_name(serving::slot_outcome_names, outcome))},
+         {"fingerprint", this->digest},
+         {"parts", serving::to_text(this->parts)},
+         {"last_event", this->events.last_id()},
+         {"error", failure}});
+}
+
 asio::awaitable<online_call::step>
 online_call::forward_response(const slot_result& slot)
 {
@@ -331,12 +346,10 @@
             this->release(slot, to_slot_outcome(complete_events.error()));
             this->events.drop_unfinished();
             this->failed_runners.push_back(slot.runner);
-            log_event(
-                event::attempt_failed,
-                {{"request", this->parameters.attempt_id},
-                 {"runner", slot.runner},
-                 {"last_event", this->events.last_id()},
-                 {"error", complete_events.error().text}});
+            this->log_failed_attempt(
+                slot.runner,
+                to_slot_outcome(complete_events.error()),
+                complete_events.error().text);
             if (may_resume)
             {
                 this->services.counters.count_retry(reason::stream_broken);
@@ -422,11 +435,10 @@
         this->runs < this->route.max_attempts)
     {
         this->failed_runners.push_back(slot.runner);
-        log_event(
-            event::attempt_failed,
-            {{"request", this->parameters.attempt_id},
-             {"runner", slot.runner},
-             {"error", "status " + std::to_string(response.status)}});
+        this->log_failed_attempt(
+            slot.runner,
+            serving::slot_outcome::failed,
+            "status " + std::to_string(response.status));
         this->services.counters.count_retry(reason::runner_failed);
         co_return step::retry;
     }
--- a/servers/node/online_call.hpp
+++ b/servers/node/online_call.hpp
@@ -65,6 +65,10 @@
     boost::asio::awaitable<void> fail(int status, reason why);
     boost::asio::awaitable<void> finish_aborted();
     void record_first_piece();
+    void log_failed_attempt(
+        const std::string& runner,
+        serving::slot_outcome outcome,
+        const std::string& failure) const;
     void release(const slot_result& slot, serving::slot_outcome outcome);
 
     run_services services;
@@ -83,6 +87,8 @@
     std::size_t streamed_bytes = 0;
     std::vector<std::string> failed_runners;
     std::uint64_t digest = 0;
+    /// Digests of the parts of the prompt that other requests may share.
+    serving::part_digests parts;
     /// Number of the slot request that was refused; zero means none.
     std::uint64_t refused_slot = 0;
     /// Number of runners on which the request may have run.
