--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -25,6 +25,15 @@
     return found == headers.end() ? std::string() : found->second;
 }
 
+/// Returns whether the prompt of a request has a part that is not its last.
+bool has_shared_part(const net::http_headers& headers, const std::string& part)
+{
+    const std::string parts = "," + get_header(headers, "x-prefix-hash");
+    const std::size_t found = parts.find("," + part + ":");
+    return found != std::string::npos &&
+           parts.find(',', found + 1) != std::string::npos;
+}
+
 } // namespace
 
 engine_standin::engine_standin(asio::io_context& io, std::string name)
@@ -118,6 +127,15 @@
     }
     co_await exchange.start_stream(std::move(head));
     asio::steady_timer timer(this->context);
+    if (!this->deadly_part.empty() &&
+        has_shared_part(exchange.head().headers, this->deadly_part))
+    {
+        timer.expires_after(this->event_time);
+        co_await timer.async_wait(as_result);
+        ++this->crashes;
+        co_return;
+    }
+    const std::size_t crashes_before = this->crashes;
     const bool is_stalled = std::exchange(this->sends_stalled_stream, false);
     while (is_stalled && !*disconnected)
     {
@@ -136,6 +154,10 @@
     {
         timer.expires_after(this->event_time);
         co_await timer.async_wait(as_result);
+        if (this->crashes != crashes_before)
+        {
+            co_return;
+        }
         const std::string event = "id: " + std::to_string(number) +
                                   "\ndata: text " + std::to_string(number) +
                                   "\n\n";
--- a/tests/standins/engine_standin.hpp
+++ b/tests/standins/engine_standin.hpp
@@ -50,6 +50,12 @@
     /// Breaks the stream once, within the event after this one; zero disables
     /// this.
     std::int64_t break_after_event = 0;
+    /// A request whose prompt has this part, but not as its last one, ends
+    /// after the head of its response, and so does every other request in
+    /// progress: the runner crashes. Empty disables this.
+    std::string deadly_part;
+    /// Number of such crashes.
+    std::size_t crashes = 0;
     /// If true, the next stream sends bytes that never complete an event until
     /// the caller disconnects.
     bool sends_stalled_stream = false;
