Crash guard: Count crashes for the parts that requests have in common

Cause: crashes were counted by the digest of the whole request, and no two requests were alike.

Change: crash_guard counts crashes for all traits of a request: its digest and the shared parts of its prompt, combined with the route's host. Only runs without an event are evidence against their traits; an event is evidence for them. Two crashes quarantine a trait, three while other runners crash too; what crashes have in common besides is tried one run at a time until an answer clears it. After 30 s one run is tried, then after twice as long. Quarantines are records of the store, so that nodes without contact and nodes that start anew know them; an operator ends one by removing its record. A quarantined request is refused with 503: it was not run and says so, where it was 502.

A stream that ends within an event, or without any, is now treated as broken: it goes on at another runner where its route allows that. A rejection (4xx) or a runner's 504 proves nothing about the prompt and is told as such.

--- a/core/event.cpp
+++ b/core/event.cpp
@@ -56,6 +56,8 @@
         {coordinator_silent, "coordinator_silent", warning, "The slot coordinator of a service does not respond; a runner was chosen without it."},
         {slot_refused, "slot_refused", info, "The coordinator had no slot for an online request within the time limit."},
         {slot_redirected, "slot_redirected", debug, "The coordinator had no slot and named another group of the service's runners as redirect target."},
+        {trait_quarantined, "trait_quarantined", error, "Requests that have all of `companions` crashed runners and are refused for `time_left_ms`."},
+        {trait_released, "trait_released", info, "Requests with a quarantined trait may run again: a run showed that it is good, or nothing used it for long."},
 
         {job_accepted, "job_accepted", info, "A batch job was accepted."},
         {job_refused, "job_refused", info, "A batch job was not accepted."},
@@ -86,6 +88,7 @@
         {object_store_unavailable, "object_store_unavailable", warning, "The object store does not respond."},
         {runner_entry_rejected, "runner_entry_rejected", warning, "The entry of a runner cannot be read; the runner is not used."},
         {runner_changed, "runner_changed", info, "The known state of a runner has changed."},
+        {quarantine_record_rejected, "quarantine_record_rejected", error, "The record of a quarantine in the store cannot be read."},
 
         {order_lease_taken, "order_lease_taken", info, "This VM issues the orders of a pool."},
         {order_lease_lost, "order_lease_lost", warning, "This VM no longer issues the orders of a pool."},
--- a/core/event.hpp
+++ b/core/event.hpp
@@ -43,6 +43,8 @@
     coordinator_silent = 216,
     slot_refused = 217,
     slot_redirected = 218,
+    trait_quarantined = 219,
+    trait_released = 220,
 
     // 300: batch jobs.
     job_accepted = 300,
@@ -76,6 +78,7 @@
     object_store_unavailable = 504,
     runner_entry_rejected = 505,
     runner_changed = 506,
+    quarantine_record_rejected = 507,
 
     // 600: orders to engines.
     order_lease_taken = 600,
--- a/policy/serving/crash_guard.hpp
+++ b/policy/serving/crash_guard.hpp
@@ -1,84 +1,220 @@
 #ifndef CHICORY_POLICY_SERVING_CRASH_GUARD_HPP
 #define CHICORY_POLICY_SERVING_CRASH_GUARD_HPP
 
-#include "policy/online/online.hpp"
+#include "policy/serving/part_digests.hpp"
 #include "policy/serving/slot_messages.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace chicory::serving
 {
 
-/// Time limits for requests that crash their runners.
+/// What a request consists of for the crash guard: the digest of its whole
+/// content, unless it is zero, and the digests of the shared parts of its
+/// prompt. Each of them may be the cause of a crash.
+using request_traits = std::vector<std::uint64_t>;
+
+request_traits
+make_traits(std::uint64_t request_digest, const part_digests& parts);
+
+/// Time limits and sizes of the crash guard.
 struct crash_guard_settings
 {
-    /// Time for which a crash caused by a request is remembered.
+    /// Time for which a crash counts against the traits of the run.
     duration crash_lifetime = std::chrono::minutes(10);
-    /// A request that crashes its runner does so before its first piece, within
-    /// this time of the start of a run. Until then, at most two copies of a
-    /// request that was not completed before may run.
+    /// A request that crashes its runner does so before its first event, within
+    /// this time of the start of a run. Until then, at most two runs with a
+    /// trait that was not seen to be good may be in progress.
     duration observation_time = std::chrono::milliseconds(150);
-    /// Time for which a completed request is known to be good.
+    /// Time for which a run with a suspect trait keeps other runs with that
+    /// trait waiting. A runner that is silent for longer gives no evidence.
+    duration trial_time = std::chrono::milliseconds(500);
+    /// Time for which a trait is known to be good after an event of a run.
     duration known_good_lifetime = std::chrono::seconds(10);
+    /// Time until a quarantined trait is tried again with one run. Doubled with
+    /// each crash of such a run.
+    duration first_quarantine = std::chrono::seconds(30);
+    duration max_quarantine = std::chrono::hours(6);
+    /// Time after the end of a quarantine in which no run was tried, after
+    /// which it is forgotten.
+    duration unused_quarantine_lifetime = std::chrono::hours(1);
+    /// Time for which crashes of other runners weaken the evidence of a crash.
+    duration other_crash_time = std::chrono::seconds(10);
+    /// Inaccuracy of the times of progress and crash that nodes report.
+    duration progress_tolerance = std::chrono::milliseconds(150);
+    /// Maximum number of crashes, known good traits and quarantines that are
+    /// remembered; the oldest are dropped first.
+    std::size_t max_crashes = 64;
+    std::size_t max_known_good = 16384;
+    std::size_t max_quarantines = 256;
+    /// Maximum number of crashed runs whose repeated reports are recognized.
+    std::size_t max_reported_runs = 4096;
 };
 
-/// Decides which copies of a request may begin. Copies are identified by the
-/// digest of the request's content; zero means that there is no digest.
-/// Designed for a request that crashes every runner it runs on and is sent
-/// through many nodes. Two copies may begin concurrently; further copies wait
-/// until the outcome of these is known. After the first crash copies run one at
-/// a time, and after the second crash the request is quarantined.
+/// Quarantine of a trait. Times are relative to the time of the message or the
+/// call.
+struct trait_quarantine
+{
+    std::uint64_t trait = 0;
+    /// Traits that every crash of the trait had in common, the trait included.
+    /// Only requests that have all of them are refused, because any of them may
+    /// be the cause.
+    request_traits companions;
+    /// Number of quarantines of this trait in a row.
+    std::int64_t count = 1;
+    /// Time until the trait is tried again.
+    duration time_left = duration::zero();
+
+    bool operator==(const trait_quarantine&) const = default;
+};
+
+/// A quarantine that began, was extended or ended.
+struct quarantine_change
+{
+    std::uint64_t trait = 0;
+    /// Nothing if the quarantine ended.
+    std::optional<trait_quarantine> quarantine;
+};
+
+/// Decides which requests may begin, from the traits that they share with runs
+/// that crashed their runners. A crash is evidence against the traits of the
+/// runs that had no event yet; an event is evidence for all traits of its run.
+/// Designed for these fault patterns:
+///
+/// - A request, or a part of a prompt in many different requests, that crashes
+///   every runner on which it begins. At most two runs with an unproven trait
+///   are in progress. After the first crash runs with the trait are tried one
+///   at a time, and after the second one it is quarantined.
+/// - Runners that crash for other reasons, many at the same moment, while they
+///   run requests with popular parts: an event of any run withdraws the
+///   evidence, and runs of a trait that was good lately count only if they
+///   began after the crash before.
+/// - Many runners that crash by themselves, or that close connections but live:
+///   while other crashes have nothing in common with a trait, a third crash is
+///   needed to quarantine it, and a runner that goes on with its other runs did
+///   not crash.
+/// - Parts that always come together: only requests with all parts that the
+///   crashes have in common are refused, and others are tried one at a time.
 class crash_guard
 {
 public:
     explicit crash_guard(crash_guard_settings initial = {});
 
-    /// Records that a run of the request begins.
+    /// Records that a run begins.
     void
-    on_begin(time_point now, std::uint64_t request_digest, const slot_id& run);
-    /// Records that a run of the request ended.
-    void on_end(std::uint64_t request_digest, const slot_id& run);
-
-    /// Records that a run of the request was completed.
-    void on_completed(time_point now, std::uint64_t request_digest);
-
-    /// Records that a run crashed its runner. Repeated reports of the same run
-    /// have no effect.
-    void on_crash(time_point now, const crashed_run& run);
+    on_begin(time_point now, const slot_id& run, const request_traits& traits);
+    /// Records that a run ended.
+    void on_end(const slot_id& run);
+    /// Records that a run returned an event or a whole response, which shows
+    /// that none of its traits crashes runners.
+    void on_good_run(time_point now, const slot_id& run);
+    void on_good_traits(time_point now, const request_traits& traits);
+
+    /// Records that a runner sent bytes for a run that began at `begun`. If the
+    /// run began before a crash of that runner and progressed after it, only
+    /// connections were closed, and the crash is withdrawn.
+    void on_progress(
+        const std::string& runner, time_point begun, time_point progress);
+
+    /// Records that a run crashed its runner before its first event. Repeated
+    /// reports of the same run have no effect. Returns whether the crash counts
+    /// against a trait.
+    bool on_crash(time_point now, const crashed_run& run);
+
+    /// Applies a quarantine that another node decided.
+    void on_quarantine(time_point now, const trait_quarantine& quarantine);
+    /// Ends a quarantine and withdraws the evidence against the trait.
+    void lift(std::uint64_t trait);
 
     /// Removes expired entries.
     void on_tick(time_point now);
 
-    /// Returns whether the request is quarantined: no copy of it may run.
-    bool is_quarantined(time_point now, std::uint64_t request_digest) const;
+    /// Returns the time until a request with these traits may run again, or
+    /// nothing if it is not quarantined.
+    std::optional<duration>
+    quarantine_left(time_point now, const request_traits& traits) const;
 
-    /// Returns whether the request has crashed a runner.
-    bool is_suspect(time_point now, std::uint64_t request_digest) const;
+    /// Returns whether a trait is the possible cause of a crash.
+    bool is_suspect(const request_traits& traits) const;
 
-    /// Returns whether two copies began within the observation time. A further
-    /// copy then waits for the outcome of these, not for a slot.
-    bool is_awaiting_first_copies(
-        time_point now, std::uint64_t request_digest) const;
+    /// Returns whether a request with these traits may begin now. If not, it
+    /// waits for the outcome of other runs, not for a slot.
+    bool may_begin(time_point now, const request_traits& traits) const;
 
-    /// Returns whether a copy of the request may begin now.
-    bool may_begin(time_point now, std::uint64_t request_digest) const;
+    /// Returns whether the first event of a run is needed as evidence: a trait
+    /// is suspect, or another run with it is in progress and it is not known to
+    /// be good.
+    bool needs_first_event(time_point now, const request_traits& traits) const;
 
-    /// Returns the most recent crashed runs, which are sent to other
-    /// coordinators.
+    /// Returns the number of traits that are remembered, runs in progress not
+    /// counted.
+    std::size_t remembered_traits() const;
+
+    /// Returns the most recent crashed runs with the traits that are not known
+    /// to be good, for other coordinators.
     std::vector<crashed_run> recent_crashes() const;
 
+    /// Returns the quarantines that this guard began, extended or ended since
+    /// the last call.
+    std::vector<quarantine_change> take_changes(time_point now);
+
 private:
+    struct run_state
+    {
+        time_point begun;
+        request_traits traits;
+    };
+    struct crash_state
+    {
+        crashed_run run;
+        time_point at;
+        request_traits traits;
+    };
+    struct quarantine_state
+    {
+        std::set<std::uint64_t> companions;
+        std::int64_t count = 0;
+        time_point until;
+    };
+
+    bool is_known_good(time_point now, std::uint64_t trait) const;
+    std::size_t crash_count(std::uint64_t trait) const;
+    /// Returns the number of crashes after which a trait is quarantined.
+    std::size_t
+    crashes_to_quarantine(time_point now, std::uint64_t trait) const;
+    std::size_t runs_begun_since(time_point since, std::uint64_t trait) const;
+    /// Returns the traits of a crashed run that the crash counts against.
+    request_traits
+    choose_suspects(time_point now, const crashed_run& run) const;
+    void drop_crash(std::size_t index);
+    void withdraw_crashes(std::uint64_t trait);
+    void quarantine(time_point now, std::uint64_t trait);
+    void end_quarantine(std::uint64_t trait);
+
     crash_guard_settings settings;
-    online::quarantine crashes;
-    std::deque<crashed_run> recent;
-    /// Start times of the runs in progress of each request.
-    std::map<std::uint64_t, std::map<slot_id, time_point>> running;
-    /// Completed requests and the time until which they are known to be good.
-    std::map<std::uint64_t, time_point> known_good;
+    /// Runs in progress without an event.
+    std::map<slot_id, run_state> runs;
+    std::unordered_map<std::uint64_t, std::set<slot_id>> runs_by_trait;
+    /// Times at which traits were last seen to be good, and the same in order
+    /// of time. An entry of the order may be outdated.
+    std::unordered_map<std::uint64_t, time_point> known_good;
+    std::deque<std::pair<time_point, std::uint64_t>> known_good_order;
+    std::deque<crash_state> crashes;
+    /// Number of crashes that count against each trait.
+    std::unordered_map<std::uint64_t, std::size_t> crash_counts;
+    std::set<slot_id> reported_runs;
+    std::deque<slot_id> reported_order;
+    std::unordered_map<std::uint64_t, quarantine_state> quarantines;
+    std::set<std::uint64_t> changed;
 };
 
 } // namespace chicory::serving
--- a/policy/serving/part_digests.hpp
+++ b/policy/serving/part_digests.hpp
@@ -15,7 +15,7 @@
 
 /// Maximum number of parts of a request that are traced, so that a slot request
 /// fits into one datagram.
-inline constexpr std::size_t max_traced_parts = 64;
+inline constexpr std::size_t max_traced_parts = 32;
 
 /// Returns the digests of the first parts of a prompt, each once. `host` is the
 /// host of the request's route and is part of each digest, so that requests of
--- a/policy/serving/runner_slots.cpp
+++ b/policy/serving/runner_slots.cpp
@@ -68,6 +68,7 @@
     switch (outcome)
     {
     case slot_outcome::completed:
+    case slot_outcome::rejected:
         use.suspect_since.reset();
         use.last_progress = now;
         use.failures.on_success(now);
--- a/policy/serving/slot_messages.hpp
+++ b/policy/serving/slot_messages.hpp
@@ -2,6 +2,7 @@
 #define CHICORY_POLICY_SERVING_SLOT_MESSAGES_HPP
 
 #include "core/core.hpp"
+#include "policy/serving/part_digests.hpp"
 #include "policy/serving/runner_group.hpp"
 
 #include <cstdint>
@@ -60,6 +61,8 @@
     /// Digest of the caller's request, which identifies a request that is sent
     /// again after a refusal; zero for an item.
     std::uint64_t request_digest = 0;
+    /// Digests of the shared parts of the prompt; none for an item.
+    part_digests parts = {};
     /// True if work that has begun may run again at another runner.
     bool repeatable = false;
     /// Runners at which the work has failed.
@@ -84,12 +87,14 @@
     bool operator==(const held_slot&) const = default;
 };
 
-/// A run whose runner closed the connection, as recorded by the node that sent
-/// the work.
+/// A run whose runner closed the connection before the first event, as recorded
+/// by the node that sent the work.
 struct crashed_run
 {
     std::uint64_t request_digest = 0;
     slot_id id;
+    part_digests parts = {};
+    std::string runner = {};
 
     bool operator==(const crashed_run&) const = default;
 };
@@ -102,9 +107,10 @@
     refused,
     /// No connection to the runner could be established.
     unreachable,
-    /// No response arrived in time, or the response was malformed.
+    /// No response arrived in time, the response was malformed, or the runner
+    /// closed the connection after the first event.
     broken,
-    /// The runner closed the connection while it processed the request.
+    /// The runner closed the connection before the first event.
     crashed,
     /// The node ended the work because the caller disconnected or the item was
     /// preempted.
@@ -113,9 +119,11 @@
     unused,
     /// The runner responded that the run failed.
     failed,
+    /// The runner responded that it rejected the request or ran out of time.
+    rejected,
 };
 
-inline constexpr enum_table<slot_outcome, 8> slot_outcome_names = {{
+inline constexpr enum_table<slot_outcome, 9> slot_outcome_names = {{
     {slot_outcome::completed, "completed"},
     {slot_outcome::refused, "refused"},
     {slot_outcome::unreachable, "unreachable"},
@@ -124,6 +132,7 @@
     {slot_outcome::cancelled, "cancelled"},
     {slot_outcome::unused, "unused"},
     {slot_outcome::failed, "failed"},
+    {slot_outcome::rejected, "rejected"},
 }};
 
 /// Kind of a decision of the coordinator.
@@ -152,6 +161,8 @@
     std::string runner;
     duration retry_after = duration::zero();
     runner_group redirect_target = {};
+    /// Granted: the node is to report the first event of the run at once.
+    bool report_first_event = false;
 
     bool operator==(const slot_decision&) const = default;
 };
--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -143,7 +143,7 @@
         this->runners.end_run(found->second.runner);
     }
     this->batch_runs.erase(id);
-    this->crashes.on_end(found->second.request_digest, id);
+    this->crashes.on_end(id);
     this->running.erase(found);
 }
 
@@ -151,6 +151,7 @@
 {
     waiting_request added;
     added.request = request;
+    added.traits = make_traits(request.request_digest, request.parts);
     added.arrived = now;
     added.target_deadline = now + request.target_time_left;
     added.deadline = now + request.time_left;
@@ -175,13 +176,15 @@
              slot_decision_kind::granted,
              run->second.runner,
              duration::zero(),
-             {}});
+             {},
+             run->second.report_first_event});
         return false;
     }
-    if (this->crashes.is_quarantined(now, request.request_digest))
+    if (const std::optional<duration> left = this->crashes.quarantine_left(
+            now, make_traits(request.request_digest, request.parts)))
     {
         out.push_back(
-            {request.id, slot_decision_kind::quarantined, "", {}, {}});
+            {request.id, slot_decision_kind::quarantined, "", *left, {}});
         return false;
     }
     if (this->queue.contains(request.id))
@@ -217,7 +220,7 @@
     {
         return;
     }
-    this->crashes.on_completed(now, run.request_digest);
+    this->crashes.on_good_traits(now, run.traits);
     if (run.kind == work_kind::online)
     {
         update_mean(
@@ -245,24 +248,57 @@
 slot_scheduler::on_crash(time_point now, const crashed_run& run)
 {
     decisions out;
-    this->crashes.on_crash(now, run);
-    if (this->crashes.is_quarantined(now, run.request_digest))
+    if (this->crashes.on_crash(now, run))
     {
-        this->quarantine_waiting(out, run.request_digest);
+        this->quarantine_waiting(out, now);
     }
     return out;
 }
 
-void slot_scheduler::quarantine_waiting(
-    decisions& out, std::uint64_t request_digest)
+std::vector<slot_decision>
+slot_scheduler::on_first_event(time_point now, const slot_id& id)
+{
+    decisions out;
+    this->crashes.on_good_run(now, id);
+    this->dispatch(out, now);
+    return out;
+}
+
+std::vector<slot_decision> slot_scheduler::on_quarantine_change(
+    time_point now, const quarantine_change& change)
+{
+    decisions out;
+    if (change.quarantine)
+    {
+        this->crashes.on_quarantine(now, *change.quarantine);
+    }
+    else
+    {
+        this->crashes.lift(change.trait);
+    }
+    this->quarantine_waiting(out, now);
+    return out;
+}
+
+std::vector<quarantine_change>
+slot_scheduler::take_quarantine_changes(time_point now)
+{
+    return this->crashes.take_changes(now);
+}
+
+void slot_scheduler::quarantine_waiting(decisions& out, time_point now)
 {
     for (const slot_id& id : this->online_queue)
     {
         const auto found = this->queue.find(id);
-        if (found != this->queue.end() &&
-            found->second.request.request_digest == request_digest)
+        if (found == this->queue.end())
         {
-            out.push_back({id, slot_decision_kind::quarantined, "", {}, {}});
+            continue;
+        }
+        if (const std::optional<duration> left =
+                this->crashes.quarantine_left(now, found->second.traits))
+        {
+            out.push_back({id, slot_decision_kind::quarantined, "", *left, {}});
             this->queue.erase(found);
         }
     }
@@ -286,7 +322,9 @@
             this->queue.erase(slot.id);
             this->add_running(slot.id, slot.kind, slot.runner, now - slot.age);
         }
-        else if (this->running[slot.id].preempted)
+        this->crashes.on_progress(
+            slot.runner, this->running[slot.id].since, now - slot.silence);
+        if (this->running[slot.id].preempted)
         {
             // The preempt decision may have been dropped, so it is sent again.
             out.push_back(
@@ -407,18 +445,22 @@
     const work_kind kind = found->second.request.kind;
     const time_point due = found->second.target_deadline;
     const duration work = found->second.request.expected_work;
-    const std::uint64_t digest = found->second.request.request_digest;
-    this->refused.erase(digest);
+    request_traits traits = std::move(found->second.traits);
+    this->refused.erase(found->second.request.request_digest);
     this->queue.erase(found);
     this->add_running(id, kind, runner, now);
-    this->running.at(id).request_digest = digest;
-    this->crashes.on_begin(now, digest, id);
+    const bool report_first_event =
+        this->crashes.needs_first_event(now, traits);
+    this->crashes.on_begin(now, id, traits);
+    this->running.at(id).traits = std::move(traits);
+    this->running.at(id).report_first_event = report_first_event;
     if (kind == work_kind::batch)
     {
         this->running.at(id).due = due;
         this->running.at(id).done_at = now + work;
     }
-    out.push_back({id, slot_decision_kind::granted, runner, {}, {}});
+    out.push_back(
+        {id, slot_decision_kind::granted, runner, {}, {}, report_first_event});
 }
 
 std::vector<const slot_id*> slot_scheduler::order_online(time_point now)
@@ -470,8 +512,9 @@
     bool may_place_others = true;
     for (const slot_id* id : this->order_online(now))
     {
-        const slot_request& request = this->queue.at(*id).request;
-        if (!this->crashes.may_begin(now, request.request_digest))
+        const waiting_request& waiting = this->queue.at(*id);
+        const slot_request& request = waiting.request;
+        if (!this->crashes.may_begin(now, waiting.traits))
         {
             continue;
         }
@@ -588,10 +631,10 @@
         has_capacity ? this->order_online(now) : std::vector<const slot_id*>();
     for (const slot_id* id : order)
     {
-        const slot_request& request = this->queue.at(*id).request;
-        if (has_capacity && !request.redirected &&
-            !this->crashes.is_suspect(now, request.request_digest) &&
-            this->crashes.may_begin(now, request.request_digest))
+        const waiting_request& waiting = this->queue.at(*id);
+        if (has_capacity && !waiting.request.redirected &&
+            !this->crashes.is_suspect(waiting.traits) &&
+            this->crashes.may_begin(now, waiting.traits))
         {
             has_capacity = this->redirect(out, now, *id, work_kind::online);
         }
@@ -707,10 +750,9 @@
     {
         const auto found = this->queue.find(*id);
         const waiting_request& waiting = found->second;
-        if (this->crashes.is_awaiting_first_copies(
-                now, waiting.request.request_digest))
+        if (!this->crashes.may_begin(now, waiting.traits))
         {
-            // It waits for the outcome of the first copies, not for a slot.
+            // It waits for the outcome of other runs, not for a slot.
             continue;
         }
         const time_point expected_start =
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -75,8 +75,8 @@
 ///   served late rather than refused. Retry times are spread at the rate at
 ///   which slots become free. Requests that are retried after a refusal go
 ///   first and are not refused again.
-/// - Copies of a request that crashes every runner it runs on: see
-///   `crash_guard`.
+/// - Requests that crash every runner they run on, copies of one request or
+///   requests with a part of their prompts in common: see `crash_guard`.
 /// - More work than this group has slots for while peer groups have free
 ///   capacity: work that would have to wait is redirected once; see
 ///   `group_overflow`.
@@ -107,11 +107,23 @@
     std::vector<slot_decision>
     on_release(time_point now, const slot_id& id, slot_outcome outcome);
 
-    /// Records that a runner closed the connection during a run of the request
-    /// with this digest. Repeated reports of the same run have no effect. If
-    /// the request is quarantined now, the copies that wait are decided.
+    /// Records that a runner closed the connection before the first event of a
+    /// run. Repeated reports of the same run have no effect. Requests that wait
+    /// and are quarantined now are decided.
     std::vector<slot_decision> on_crash(time_point now, const crashed_run& run);
 
+    /// Records that a run returned its first event.
+    std::vector<slot_decision>
+    on_first_event(time_point now, const slot_id& id);
+
+    /// Applies a quarantine that another coordinator decided, or ends one.
+    std::vector<slot_decision>
+    on_quarantine_change(time_point now, const quarantine_change& change);
+
+    /// Returns the quarantines that this scheduler began, extended or ended
+    /// since the last call.
+    std::vector<quarantine_change> take_quarantine_changes(time_point now);
+
     /// Records the status of another group of the service.
     std::vector<slot_decision>
     on_group_status(time_point now, const group_status& status);
@@ -148,7 +160,8 @@
     {
         work_kind kind = work_kind::online;
         std::string runner;
-        std::uint64_t request_digest = 0;
+        request_traits traits;
+        bool report_first_event = false;
         time_point since;
         /// True for a run that was preempted and is not counted any more.
         bool preempted = false;
@@ -160,6 +173,7 @@
     struct waiting_request
     {
         slot_request request;
+        request_traits traits;
         time_point arrived;
         time_point target_deadline;
         time_point deadline;
@@ -218,7 +232,8 @@
     std::int64_t reserved_slots(time_point now);
     void grant(
         decisions& out, time_point now, slot_id id, const std::string& runner);
-    void quarantine_waiting(decisions& out, std::uint64_t request_digest);
+    /// Decides the waiting requests that are quarantined now.
+    void quarantine_waiting(decisions& out, time_point now);
     void dispatch_online(decisions& out, time_point now);
     void dispatch_batch(decisions& out, time_point now, bool may_preempt);
     void dispatch(decisions& out, time_point now);
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -109,6 +109,15 @@
            {
                return this->members.version();
            }}),
+      quarantines(
+          io,
+          this->store,
+          this->incarnation + 3,
+          [this](const serving::quarantine_change& change)
+          {
+              this->coordinator.on_quarantine_change(change);
+              this->slots.on_quarantine_change(change);
+          }),
       coordinator(
           io,
           this->fleet,
@@ -117,6 +126,11 @@
           [this](const std::string& node, const wire::slot_packet& packet)
           {
               this->packets.send(node, packet);
+          },
+          [this](const serving::quarantine_change& change)
+          {
+              this->slots.on_quarantine_change(change);
+              this->quarantines.write(change);
           }),
       slots(
           io,
@@ -257,6 +271,7 @@
     }
     this->fleet.start();
     this->peers.start();
+    this->quarantines.start();
     this->coordinator.start();
     this->slots.start();
     this->jobs.start();
--- a/servers/node/node_process.hpp
+++ b/servers/node/node_process.hpp
@@ -11,6 +11,7 @@
 #include "servers/node/node_settings.hpp"
 #include "servers/node/online_call.hpp"
 #include "servers/node/peer_exchange.hpp"
+#include "servers/node/quarantine_records.hpp"
 #include "servers/node/runner_caller.hpp"
 #include "servers/node/slot_client.hpp"
 #include "servers/node/slot_coordinator.hpp"
@@ -78,6 +79,7 @@
     peer_exchange peers;
     slot_transport packets;
     slot_topology topology;
+    quarantine_records quarantines;
     slot_coordinator coordinator;
     slot_client slots;
     runner_caller runners;
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -12,6 +12,7 @@
 namespace
 {
 
+constexpr int status_first_redirection = 300;
 constexpr int status_failed = 500;
 constexpr int status_bad_gateway = 502;
 constexpr int status_gateway_timeout = 504;
@@ -136,6 +137,7 @@
     requirements.target_deadline = this->arrived + this->route.target_latency;
     requirements.deadline = this->deadline;
     requirements.request_digest = this->digest;
+    requirements.parts = this->parts;
     requirements.repeatable = serving::is_repeatable(this->route);
     requirements.excluded = this->failed_runners;
     return requirements;
@@ -161,8 +163,7 @@
 {
     this->services.slots.release(
         slot.id,
-        this->is_aborted() ? serving::slot_outcome::cancelled : outcome,
-        this->digest);
+        this->is_aborted() ? serving::slot_outcome::cancelled : outcome);
 }
 
 asio::awaitable<online_call::step> online_call::attempt()
@@ -184,7 +185,7 @@
             {{"request", this->parameters.attempt_id},
              {"fingerprint", this->digest}});
         this->services.counters.add("requests_quarantined_total");
-        co_await this->fail(status_bad_gateway, reason::quarantined);
+        co_await this->refuse(slot.retry_after, reason::quarantined);
         co_return step::done;
     }
     if (slot.kind == slot_result::result_kind::cancelled)
@@ -213,7 +214,12 @@
         this->send_cancellation);
     if (outcome.delivery != delivery_outcome::responding)
     {
-        this->release(slot, to_slot_outcome(outcome));
+        this->release(
+            slot,
+            outcome.closed &&
+                    !this->services.fleet.runners().may_send(slot.runner)
+                ? serving::slot_outcome::broken
+                : to_slot_outcome(outcome));
         co_return co_await this->handle_failure(slot.runner, outcome);
     }
     ++this->runs;
@@ -289,6 +295,38 @@
         "first_piece", read_monotonic_clock() - this->arrived);
 }
 
+serving::slot_outcome online_call::classify_failure(
+    const slot_result& slot, const error& failure, bool has_event) const
+{
+    const serving::slot_outcome outcome = to_slot_outcome(failure);
+    // A runner that has begun to answer, or that leaves, did not end because of
+    // this request.
+    const bool is_evidence =
+        !has_event && this->services.fleet.runners().may_send(slot.runner);
+    return outcome == serving::slot_outcome::crashed && !is_evidence
+               ? serving::slot_outcome::broken
+               : outcome;
+}
+
+result<void> online_call::check_end() const
+{
+    if (this->events.unfinished_bytes() > 0)
+    {
+        return make_error(
+            error_kind::unavailable,
+            "stream: expected the rest of an event, found the end after " +
+                std::to_string(this->events.unfinished_bytes()) +
+                " bytes of it");
+    }
+    if (this->streamed_bytes == 0 && this->parameters.last_event_id.empty())
+    {
+        return make_error(
+            error_kind::unavailable,
+            "stream: expected an event, found the end");
+    }
+    return boost::outcome_v2::success();
+}
+
 result<std::string> online_call::split_events(const std::string& piece)
 {
     const response_size_limits& limits = this->services.limits;
@@ -325,6 +363,7 @@
         }
         this->record_first_piece();
     }
+    bool has_event = false;
     while (!this->is_aborted())
     {
         const bool may_resume =
@@ -337,19 +376,30 @@
         {
             break;
         }
-        const result<std::string> complete_events =
-            piece ? this->split_events(piece.value()) : piece;
+        const bool ended = piece && piece.value().empty();
+        result<std::string> complete_events = piece;
+        if (ended)
+        {
+            if (const result<void> whole = this->check_end(); !whole)
+            {
+                complete_events = whole.error();
+            }
+        }
+        else if (piece)
+        {
+            complete_events = this->split_events(piece.value());
+        }
         if (!complete_events)
         {
+            const serving::slot_outcome outcome = this->classify_failure(
+                slot, complete_events.error(), has_event);
             this->stream->close();
             this->stream.reset();
-            this->release(slot, to_slot_outcome(complete_events.error()));
+            this->release(slot, outcome);
             this->events.drop_unfinished();
             this->failed_runners.push_back(slot.runner);
             this->log_failed_attempt(
-                slot.runner,
-                to_slot_outcome(complete_events.error()),
-                complete_events.error().text);
+                slot.runner, outcome, complete_events.error().text);
             if (may_resume)
             {
                 this->services.counters.count_retry(reason::stream_broken);
@@ -359,16 +409,22 @@
             co_return step::done;
         }
         this->services.slots.note_progress(slot.id);
-        const bool ended = piece.value().empty();
+        if (!complete_events.value().empty() && !std::exchange(has_event, true))
+        {
+            this->services.slots.note_first_event(slot.id);
+        }
         if (!complete_events.value().empty() &&
             !co_await this->exchange.write_chunk(complete_events.value()))
         {
             this->caller_disconnected = true;
             break;
         }
-        if (ended && this->events.unfinished_bytes() == 0)
+        if (ended)
         {
-            this->release(slot, serving::slot_outcome::completed);
+            this->release(
+                slot,
+                has_event ? serving::slot_outcome::completed
+                          : serving::slot_outcome::rejected);
             this->stream.reset();
             this->services.counters.add("requests_completed_total");
             log_event(
@@ -380,12 +436,6 @@
             co_await this->exchange.end_stream();
             co_return step::done;
         }
-        if (ended)
-        {
-            this->release(slot, serving::slot_outcome::broken);
-            co_await this->fail(status_bad_gateway, reason::stream_broken);
-            co_return step::done;
-        }
     }
     this->stream->close();
     this->stream.reset();
@@ -417,7 +467,7 @@
     }
     if (!whole)
     {
-        this->release(slot, to_slot_outcome(whole.error()));
+        this->release(slot, this->classify_failure(slot, whole.error(), false));
         runner_outcome broken_response;
         broken_response.delivery = delivery_outcome::unknown;
         broken_response.failure = whole.error().text;
@@ -427,10 +477,13 @@
     response.body = std::move(whole.value());
     const bool failed = response.status >= status_failed &&
                         response.status != status_gateway_timeout;
-    this->release(
-        slot,
-        failed ? serving::slot_outcome::failed
-               : serving::slot_outcome::completed);
+    serving::slot_outcome outcome = serving::slot_outcome::completed;
+    if (response.status >= status_first_redirection)
+    {
+        outcome = failed ? serving::slot_outcome::failed
+                         : serving::slot_outcome::rejected;
+    }
+    this->release(slot, outcome);
     if (failed && serving::is_repeatable(this->route) &&
         this->runs < this->route.max_attempts)
     {
--- a/servers/node/online_call.hpp
+++ b/servers/node/online_call.hpp
@@ -55,6 +55,13 @@
     handle_failure(const std::string& runner, const runner_outcome& outcome);
     boost::asio::awaitable<step> forward_response(const slot_result& slot);
     boost::asio::awaitable<step> forward_events(const slot_result& slot);
+    /// Returns the outcome of a run whose response broke off; `has_event` is
+    /// true if the run returned an event.
+    serving::slot_outcome classify_failure(
+        const slot_result& slot, const error& failure, bool has_event) const;
+    /// Checks that a stream may end here. Error: unavailable inside an event,
+    /// or before the first event of the caller's stream.
+    result<void> check_end() const;
     /// Adds a piece of a stream and returns the events that it completes.
     /// Error: malformed when an event or the stream is longer than its limit in
     /// bytes.
--- a/servers/node/slot_client.cpp
+++ b/servers/node/slot_client.cpp
@@ -110,6 +110,19 @@
 void slot_client::choose_runner_directly(
     time_point now, pending_request& pending)
 {
+    slot_result result;
+    result.id = pending.request.id;
+    result.direct = true;
+    if (const std::optional<duration> left = this->own_guard.quarantine_left(
+            now,
+            serving::make_traits(
+                pending.request.request_digest, pending.request.parts)))
+    {
+        result.kind = slot_result::result_kind::quarantined;
+        result.retry_after = *left;
+        this->resolve(pending, std::move(result));
+        return;
+    }
     std::map<std::string, std::int64_t> own_requests;
     for (const auto& [number, slot] : this->used_slots)
     {
@@ -140,9 +153,6 @@
         event::coordinator_silent,
         {{"service", pending.requirements.service},
          {"runner", best == nullptr ? "none" : best->id}});
-    slot_result result;
-    result.id = pending.request.id;
-    result.direct = true;
     result.kind = best == nullptr ? slot_result::result_kind::refused
                                   : slot_result::result_kind::granted;
     result.runner = best == nullptr ? "" : best->id;
@@ -163,8 +173,19 @@
     request.zone = this->own_zone;
     request.expected_work = pending->requirements.expected_work;
     request.request_digest = pending->requirements.request_digest;
+    request.parts = pending->requirements.parts;
     request.repeatable = pending->requirements.repeatable;
     request.excluded = pending->requirements.excluded;
+    if (const std::optional<duration> left = this->fleet_guard.quarantine_left(
+            read_monotonic_clock(),
+            serving::make_traits(request.request_digest, request.parts)))
+    {
+        slot_result quarantined;
+        quarantined.id = request.id;
+        quarantined.kind = slot_result::result_kind::quarantined;
+        quarantined.retry_after = *left;
+        co_return quarantined;
+    }
     asio::steady_timer timer(this->context);
     pending->timer = &timer;
     this->pending_requests[number] = pending;
@@ -212,14 +233,16 @@
     if (pending->resolved &&
         pending->result.kind == slot_result::result_kind::granted)
     {
-        this->used_slots[number] = {
-            pending->requirements.kind,
-            request.group,
-            pending->result.runner,
-            read_monotonic_clock(),
-            read_monotonic_clock(),
-            {},
-            false};
+        const time_point now = read_monotonic_clock();
+        used_slot& slot = this->used_slots[number];
+        slot.kind = pending->requirements.kind;
+        slot.group = request.group;
+        slot.runner = pending->result.runner;
+        slot.granted_at = now;
+        slot.last_progress = now;
+        slot.request_digest = request.request_digest;
+        slot.parts = request.parts;
+        slot.report_first_event = pending->result.report_first_event;
     }
     if (pending->resolved)
     {
@@ -235,28 +258,69 @@
 }
 
 void slot_client::release(
-    const serving::slot_id& id,
-    serving::slot_outcome outcome,
-    std::uint64_t request_digest)
+    const serving::slot_id& id, serving::slot_outcome outcome)
 {
     const auto found = this->used_slots.find(id.number);
     if (found == this->used_slots.end())
     {
         return;
     }
-    const serving::runner_group group = found->second.group;
+    const used_slot slot = std::move(found->second);
     this->used_slots.erase(found);
-    if (outcome == serving::slot_outcome::crashed && request_digest != 0)
+    if (outcome == serving::slot_outcome::crashed && slot.request_digest != 0)
     {
+        const serving::crashed_run run = {
+            slot.request_digest, id, slot.parts, slot.runner};
+        this->own_guard.on_crash(read_monotonic_clock(), run);
         std::deque<serving::crashed_run>& runs =
-            this->crashed_runs[group.service];
-        runs.push_back({request_digest, id});
+            this->crashed_runs[slot.group.service];
+        runs.push_back(run);
         if (runs.size() > max_reported_crashes)
         {
             runs.pop_front();
         }
     }
-    this->send_release({group, id, outcome, request_digest});
+    this->send_release(
+        {slot.group,
+         id,
+         outcome,
+         slot.request_digest,
+         slot.parts,
+         slot.runner});
+}
+
+void slot_client::note_first_event(const serving::slot_id& id)
+{
+    const auto found = this->used_slots.find(id.number);
+    if (found == this->used_slots.end())
+    {
+        return;
+    }
+    used_slot& slot = found->second;
+    const time_point now = read_monotonic_clock();
+    this->own_guard.on_good_traits(
+        now, serving::make_traits(slot.request_digest, slot.parts));
+    if (!std::exchange(slot.report_first_event, false))
+    {
+        return;
+    }
+    if (const std::optional<std::string> coordinator =
+            this->find_coordinator(now, slot.group))
+    {
+        this->send(*coordinator, wire::first_event{slot.group, id});
+    }
+}
+
+void slot_client::on_quarantine_change(const serving::quarantine_change& change)
+{
+    if (change.quarantine)
+    {
+        this->fleet_guard.on_quarantine(
+            read_monotonic_clock(), *change.quarantine);
+        return;
+    }
+    this->fleet_guard.lift(change.trait);
+    this->own_guard.lift(change.trait);
 }
 
 void slot_client::send_release(const wire::slot_release& packet)
@@ -389,6 +453,7 @@
     result.runner = decision.runner;
     result.retry_after = decision.retry_after;
     result.coordinator = found->second->coordinator;
+    result.report_first_event = decision.report_first_event;
     this->resolve(*found->second, std::move(result));
 }
 
--- a/servers/node/slot_client.hpp
+++ b/servers/node/slot_client.hpp
@@ -34,6 +34,8 @@
     time_point deadline;
     duration expected_work = duration::zero();
     std::uint64_t request_digest = 0;
+    /// Digests of the shared parts of the prompt.
+    serving::part_digests parts;
     bool repeatable = false;
     /// Runners that must not be chosen.
     std::vector<std::string> excluded;
@@ -54,12 +56,14 @@
     result_kind kind = result_kind::cancelled;
     serving::slot_id id;
     std::string runner;
-    /// Time after which a refused caller may try again.
+    /// Time after which a refused or quarantined request may be tried again.
     duration retry_after = duration::zero();
     /// Node that made the decision; empty when no coordinator made one.
     std::string coordinator;
     /// True when the runner was chosen without a coordinator.
     bool direct = false;
+    /// True when the coordinator waits for the first event.
+    bool report_first_event = false;
 };
 
 /// Cancels a slot request while it waits.
@@ -103,12 +107,14 @@
     boost::asio::awaitable<slot_result>
     acquire(slot_requirements requirements, slot_cancellation& cancellation);
 
-    /// Releases a slot. `request_digest` is the one given to acquire(); zero
-    /// means none.
-    void release(
-        const serving::slot_id& id,
-        serving::slot_outcome outcome,
-        std::uint64_t request_digest = 0);
+    /// Releases a slot.
+    void release(const serving::slot_id& id, serving::slot_outcome outcome);
+
+    /// Records the first event of the run in this slot.
+    void note_first_event(const serving::slot_id& id);
+
+    /// Applies a change to the quarantines of the fleet.
+    void on_quarantine_change(const serving::quarantine_change& change);
 
     /// Reports immediately to the coordinator of a runner's group that the
     /// runner is leaving.
@@ -147,6 +153,10 @@
         std::string runner;
         time_point granted_at;
         time_point last_progress;
+        std::uint64_t request_digest = 0;
+        serving::part_digests parts;
+        /// True until a first event that the coordinator asked for is reported.
+        bool report_first_event = false;
         std::function<void()> preempt_hook;
         bool preempted = false;
     };
@@ -181,6 +191,11 @@
     send_hook send;
     slot_topology& topology;
     serving::coordinator_health health;
+    /// Quarantines of the fleet. A request is refused here even if no
+    /// coordinator can be reached.
+    serving::crash_guard fleet_guard;
+    /// Evidence of this node's own runs, for the time without a coordinator.
+    serving::crash_guard own_guard;
     /// The latest runs that crashed a runner, by service. Reports include
     /// them, so that a new coordinator receives them.
     std::map<std::string, std::deque<serving::crashed_run>> crashed_runs;
--- a/servers/node/slot_coordinator.cpp
+++ b/servers/node/slot_coordinator.cpp
@@ -29,9 +29,11 @@
     fleet_state& initial_fleet,
     slot_topology& initial_topology,
     std::string vm_id,
-    send_hook hook)
+    send_hook hook,
+    quarantine_hook initial_on_quarantine)
     : timer(io), fleet(initial_fleet), topology(initial_topology),
-      self(std::move(vm_id)), send(std::move(hook))
+      self(std::move(vm_id)), send(std::move(hook)),
+      on_quarantine(std::move(initial_on_quarantine))
 {
 }
 
@@ -47,6 +49,7 @@
     for (auto& [group, scheduler] : this->groups)
     {
         this->send_decisions(group, "", scheduler.on_tick(now));
+        this->spread_quarantines(now, group);
     }
     if (now >= this->next_status)
     {
@@ -93,10 +96,60 @@
     {
         entry->second.set_runners(
             now, this->topology.usable_runners(now, group));
+        for (const auto& [trait, known] : this->quarantines)
+        {
+            serving::quarantine_change change = {trait, known.second};
+            change.quarantine->time_left = known.first - now;
+            entry->second.on_quarantine_change(now, change);
+        }
     }
     return entry->second;
 }
 
+void slot_coordinator::on_quarantine_change(
+    const serving::quarantine_change& change)
+{
+    const time_point now = read_monotonic_clock();
+    if (change.quarantine)
+    {
+        this->quarantines[change.trait] = {
+            now + change.quarantine->time_left, *change.quarantine};
+    }
+    else
+    {
+        this->quarantines.erase(change.trait);
+    }
+    for (auto& [group, scheduler] : this->groups)
+    {
+        this->send_decisions(
+            group, "", scheduler.on_quarantine_change(now, change));
+    }
+}
+
+void slot_coordinator::spread_quarantines(
+    time_point now, const serving::runner_group& group)
+{
+    for (const serving::quarantine_change& change :
+         this->groups.at(group).take_quarantine_changes(now))
+    {
+        log_event(
+            change.quarantine ? event::trait_quarantined
+                              : event::trait_released,
+            {{"group", to_text(group)},
+             {"trait", serving::to_text({change.trait})},
+             {"companions",
+              serving::to_text(
+                  change.quarantine ? change.quarantine->companions
+                                    : serving::part_digests())},
+             {"count", change.quarantine ? change.quarantine->count : 0},
+             {"time_left_ms",
+              change.quarantine ? change.quarantine->time_left.count() / 1000
+                                : 0}});
+        this->on_quarantine_change(change);
+        this->on_quarantine(change);
+    }
+}
+
 void slot_coordinator::send_decisions(
     const serving::runner_group& group,
     const std::string& requester,
@@ -156,6 +209,10 @@
     {
         this->handle_report(now, *report);
     }
+    else if (const auto* reported = std::get_if<wire::first_event>(&packet))
+    {
+        this->handle_first_event(now, *reported);
+    }
     else if (
         const auto* status = std::get_if<wire::group_status_packet>(&packet))
     {
@@ -183,7 +240,13 @@
         this->send_decisions(
             release.group,
             "",
-            scheduler.on_crash(now, {release.request_digest, release.id}));
+            scheduler.on_crash(
+                now,
+                {release.request_digest,
+                 release.id,
+                 release.parts,
+                 release.runner}));
+        this->spread_quarantines(now, release.group);
     }
     this->send_decisions(
         release.group,
@@ -191,6 +254,17 @@
         scheduler.on_release(now, release.id, release.outcome));
 }
 
+void slot_coordinator::handle_first_event(
+    time_point now, const wire::first_event& reported)
+{
+    this->send_decisions(
+        reported.group,
+        "",
+        this->find_or_add_scheduler(now, reported.group)
+            .on_first_event(now, reported.id));
+    this->spread_quarantines(now, reported.group);
+}
+
 void slot_coordinator::handle_report(
     time_point now, const wire::slot_report& report)
 {
--- a/servers/node/slot_coordinator.hpp
+++ b/servers/node/slot_coordinator.hpp
@@ -28,12 +28,21 @@
     using send_hook =
         std::function<void(const std::string& node, const wire::slot_packet&)>;
 
+    /// Called with a change of the quarantines that a scheduler decided.
+    using quarantine_hook =
+        std::function<void(const serving::quarantine_change&)>;
+
     slot_coordinator(
         boost::asio::io_context& io,
         fleet_state& initial_fleet,
         slot_topology& initial_topology,
         std::string vm_id,
-        send_hook hook);
+        send_hook hook,
+        quarantine_hook initial_on_quarantine);
+
+    /// Applies a change of the quarantines to all schedulers and to those that
+    /// are added later.
+    void on_quarantine_change(const serving::quarantine_change& change);
 
     /// Starts the periodic work of the schedulers.
     void start();
@@ -66,6 +75,9 @@
         const serving::slot_decision& decision) const;
     void handle_request(time_point now, const serving::slot_request& request);
     void handle_release(time_point now, const wire::slot_release& release);
+    void handle_first_event(time_point now, const wire::first_event& reported);
+    /// Passes the changes of the quarantines of a scheduler on to the others.
+    void spread_quarantines(time_point now, const serving::runner_group& group);
     void handle_report(time_point now, const wire::slot_report& report);
     void handle_group_status(
         time_point now,
@@ -85,6 +97,10 @@
     slot_topology& topology;
     std::string self;
     send_hook send;
+    quarantine_hook on_quarantine;
+    /// Quarantines of the fleet and the times at which they end.
+    std::map<std::uint64_t, std::pair<time_point, serving::trait_quarantine>>
+        quarantines;
     std::map<serving::runner_group, serving::slot_scheduler> groups;
     std::map<serving::runner_group, known_coordinator> coordinators;
     time_point next_status;
--- a/servers/node/table_watch.cpp
+++ b/servers/node/table_watch.cpp
@@ -19,10 +19,8 @@
 {
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
-/// Time that one call waits for changes. A connection that stopped responding
-/// is noticed shortly after it.
-constexpr std::chrono::milliseconds follow_wait(1000);
-/// The store responds to a call for changes at least this often.
+/// The store responds to a call for changes at least this often, with the
+/// default wait.
 constexpr std::chrono::milliseconds max_response_age(1300);
 constexpr std::chrono::milliseconds min_retry_pause(50);
 constexpr std::chrono::milliseconds max_retry_pause(500);
@@ -37,10 +35,11 @@
     std::string name,
     table_watch_hooks initial_hooks,
     std::uint64_t seed,
-    coalesce_delays initial_delays)
+    coalesce_delays initial_delays,
+    duration initial_follow_wait)
     : context(io), store(source), table(std::move(name)),
       hooks(std::move(initial_hooks)), generator(seed), delays(initial_delays),
-      coalesce_timer(io)
+      follow_wait(initial_follow_wait), coalesce_timer(io)
 {
 }
 
@@ -215,8 +214,8 @@
 {
     // The delay counts towards the wait, so that a response comes at least once
     // in `max_response_age`.
-    const duration wait = duration(follow_wait) -
-                          std::min(duration(follow_wait), this->coalesced_time);
+    const duration wait =
+        this->follow_wait - std::min(this->follow_wait, this->coalesced_time);
     this->coalesced_time = duration::zero();
     result<ports::record_page> page =
         co_await this->store.follow(this->table, this->version, wait);
--- a/servers/node/table_watch.hpp
+++ b/servers/node/table_watch.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <random>
@@ -38,6 +39,10 @@
     duration idle = duration::zero();
 };
 
+/// Longest wait of one call for changes, which is the time after which a
+/// connection to the store that became silent is noticed.
+inline constexpr duration default_follow_wait = std::chrono::seconds(1);
+
 /// Follows one table of the store. Reads the whole table, then waits for
 /// changes. Reads the whole table again when the store no longer has all
 /// changes since the last call.
@@ -51,7 +56,8 @@
         std::string name,
         table_watch_hooks initial_hooks,
         std::uint64_t seed,
-        coalesce_delays initial_delays = {});
+        coalesce_delays initial_delays = {},
+        duration initial_follow_wait = default_follow_wait);
 
     void start();
 
@@ -80,6 +86,7 @@
     table_watch_hooks hooks;
     std::mt19937_64 generator;
     coalesce_delays delays;
+    duration follow_wait;
     boost::asio::steady_timer coalesce_timer;
     std::size_t waiter_count = 0;
     /// Time spent on coalescing changes since the last call.
--- a/wire/slot_packet.cpp
+++ b/wire/slot_packet.cpp
@@ -37,13 +37,14 @@
     serialize_duration(archive, value.target_time_left);
     serialize_duration(archive, value.time_left);
     serialize_duration(archive, value.expected_work);
-    archive(value.request_digest, value.repeatable, value.excluded);
+    archive(
+        value.request_digest, value.parts, value.repeatable, value.excluded);
 }
 
 template <class Archive>
 void serialize(Archive& archive, crashed_run& value)
 {
-    archive(value.request_digest, value.id);
+    archive(value.request_digest, value.id, value.parts, value.runner);
 }
 
 template <class Archive>
@@ -65,7 +66,7 @@
 {
     archive(value.id, value.kind, value.runner);
     serialize_duration(archive, value.retry_after);
-    archive(value.redirect_target);
+    archive(value.redirect_target, value.report_first_event);
 }
 
 template <class Archive>
@@ -87,7 +88,19 @@
 template <class Archive>
 void serialize(Archive& archive, slot_release& value)
 {
-    archive(value.group, value.id, value.outcome, value.request_digest);
+    archive(
+        value.group,
+        value.id,
+        value.outcome,
+        value.request_digest,
+        value.parts,
+        value.runner);
+}
+
+template <class Archive>
+void serialize(Archive& archive, first_event& value)
+{
+    archive(value.group, value.id);
 }
 
 template <class Archive>
--- a/wire/slot_packet.hpp
+++ b/wire/slot_packet.hpp
@@ -19,6 +19,17 @@
     serving::slot_outcome outcome = serving::slot_outcome::completed;
     /// Digest of the request that used the slot; zero for a batch item.
     std::uint64_t request_digest = 0;
+    /// Digests of the shared parts of its prompt.
+    serving::part_digests parts = {};
+    std::string runner = {};
+};
+
+/// Reports that a run returned its first event, if the decision that granted
+/// its slot asked for it.
+struct first_event
+{
+    serving::runner_group group;
+    serving::slot_id id;
 };
 
 /// All slots of a group that a node holds, and all its waiting requests.
@@ -58,7 +69,8 @@
     slot_release,
     slot_report,
     slot_decisions,
-    group_status_packet>;
+    group_status_packet,
+    first_event>;
 
 /// Encodes a packet in little-endian binary form.
 std::string encode_slot_packet(const slot_packet& value);
