Slot scheduler: Try a suspect part in one group of the fleet

Cause: the bound of one trial at a time held in each group; statuses went between the groups every 150 ms only. Change: a request with a suspect trait is redirected to the group that all groups choose for this trait, and the coordinator that records a crash sends its status with its next tick. slot_groups_test.a_suspect_part_is_tried_in_one_group: three runs at once without the redirection, one with it.

--- a/policy/serving/crash_guard.cpp
+++ b/policy/serving/crash_guard.cpp
@@ -471,6 +471,29 @@
         });
 }
 
+std::optional<std::uint64_t> crash_guard::find_trial_trait(
+    time_point now, const request_traits& traits) const
+{
+    if (this->crash_counts.empty() && this->quarantines.empty())
+    {
+        return std::nullopt;
+    }
+    const auto found = std::find_if(
+        traits.begin(),
+        traits.end(),
+        [this, now](std::uint64_t trait)
+        {
+            return this->is_suspect({trait}) && !this->is_cleared(now, trait);
+        });
+    return found == traits.end() ? std::nullopt : std::optional(*found);
+}
+
+bool crash_guard::is_cleared(time_point now, std::uint64_t trait) const
+{
+    return this->is_known_good(now, trait) &&
+           this->crash_count(trait) < crashes_of_trait;
+}
+
 bool crash_guard::may_begin(time_point now, const request_traits& traits) const
 {
     return std::all_of(
@@ -478,8 +501,7 @@
         traits.end(),
         [this, now](std::uint64_t trait)
         {
-            if (this->is_known_good(now, trait) &&
-                this->crash_count(trait) < crashes_of_trait)
+            if (this->is_cleared(now, trait))
             {
                 return true;
             }
--- a/policy/serving/crash_guard.hpp
+++ b/policy/serving/crash_guard.hpp
@@ -146,6 +146,11 @@
     /// Returns whether a trait is the possible cause of a crash.
     bool is_suspect(const request_traits& traits) const;
 
+    /// Returns a trait because of which a request runs only if no other run
+    /// with it is tried, or nothing.
+    std::optional<std::uint64_t>
+    find_trial_trait(time_point now, const request_traits& traits) const;
+
     /// Returns whether a request with these traits may begin now. If not, it
     /// waits for the outcome of other runs, not for a slot.
     bool may_begin(time_point now, const request_traits& traits) const;
@@ -187,6 +192,9 @@
     };
 
     bool is_known_good(time_point now, std::uint64_t trait) const;
+    /// Returns whether a trait was seen to be good lately, and crashes since
+    /// then are too few to doubt it.
+    bool is_cleared(time_point now, std::uint64_t trait) const;
     std::size_t crash_count(std::uint64_t trait) const;
     /// Returns the number of crashes after which a trait is quarantined.
     std::size_t
--- a/policy/serving/group_overflow.cpp
+++ b/policy/serving/group_overflow.cpp
@@ -83,4 +83,22 @@
     return std::nullopt;
 }
 
+runner_group group_overflow::choose_trial_group(
+    time_point now, const runner_group& own, std::uint64_t trait) const
+{
+    runner_group best = own;
+    std::uint64_t best_rank = hash_bytes(to_text(own), trait);
+    for (const auto& [group, entry] : this->peer_groups)
+    {
+        const std::uint64_t rank = hash_bytes(to_text(group), trait);
+        if (now - entry.received_at <= this->settings.lifetime &&
+            rank > best_rank)
+        {
+            best = group;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
 } // namespace chicory::serving
--- a/policy/serving/group_overflow.hpp
+++ b/policy/serving/group_overflow.hpp
@@ -65,6 +65,12 @@
     std::optional<runner_group>
     reserve_capacity(time_point now, work_kind kind, const slot_id& id);
 
+    /// Returns the one group, of `own` and the peer groups that are known, in
+    /// which requests with a trait are tried. Groups that know the same peer
+    /// groups choose the same one.
+    runner_group choose_trial_group(
+        time_point now, const runner_group& own, std::uint64_t trait) const;
+
 private:
     struct peer_group
     {
--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -512,6 +512,10 @@
     bool may_place_others = true;
     for (const slot_id* id : this->order_online(now))
     {
+        if (this->redirect_trial(out, now, *id))
+        {
+            continue;
+        }
         const waiting_request& waiting = this->queue.at(*id);
         const slot_request& request = waiting.request;
         if (!this->crashes.may_begin(now, waiting.traits))
@@ -598,6 +602,32 @@
     this->redirect_waiting(out, now);
 }
 
+bool slot_scheduler::redirect_trial(
+    decisions& out, time_point now, const slot_id& id)
+{
+    const waiting_request& waiting = this->queue.at(id);
+    const std::optional<std::uint64_t> trait =
+        this->crashes.find_trial_trait(now, waiting.traits);
+    if (!trait || waiting.request.redirected)
+    {
+        return false;
+    }
+    const runner_group group =
+        this->overflow.choose_trial_group(now, waiting.request.group, *trait);
+    if (group == waiting.request.group)
+    {
+        return false;
+    }
+    slot_decision decision;
+    decision.id = id;
+    decision.kind = slot_decision_kind::redirected;
+    decision.redirect_target = group;
+    out.push_back(std::move(decision));
+    // This must come last, because the id may be the key of the erased entry.
+    this->queue.erase(id);
+    return true;
+}
+
 bool slot_scheduler::redirect(
     decisions& out, time_point now, const slot_id& id, work_kind kind)
 {
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -239,6 +239,10 @@
     void dispatch(decisions& out, time_point now);
     /// Redirects waiting work to groups that have capacity for it.
     void redirect_waiting(decisions& out, time_point now);
+    /// Redirects a waiting request with a suspect trait to the group in which
+    /// the trait is tried, so that the fleet tries it once and not each group.
+    /// Returns false if that is this group.
+    bool redirect_trial(decisions& out, time_point now, const slot_id& id);
     /// Redirects a waiting request or item. Returns false if no group has
     /// capacity.
     bool
--- a/servers/node/slot_coordinator.cpp
+++ b/servers/node/slot_coordinator.cpp
@@ -247,6 +247,8 @@
                  release.parts,
                  release.runner}));
         this->spread_quarantines(now, release.group);
+        // The coordinators of the other groups learn of it with the next tick.
+        this->next_status = now;
     }
     this->send_decisions(
         release.group,
--- a/tests/policy/serving/slot_groups_test.cpp
+++ b/tests/policy/serving/slot_groups_test.cpp
@@ -408,6 +408,55 @@
     EXPECT_EQ(decisions.front().kind, slot_decision_kind::quarantined);
 }
 
+// Guards against a part that crashes a runner of each group, because each group
+// tries it after a crash in one of them.
+TEST(slot_groups_test, a_suspect_part_is_tried_in_one_group)
+{
+    constexpr std::uint64_t part = 1001;
+    const std::vector<runner_group> groups = {
+        {"chat", "z1", 0}, {"chat", "z2", 0}, {"chat", "z3", 0}};
+    std::vector<slot_scheduler> schedulers(groups.size());
+    crashed_run crash;
+    crash.id = {"a", 1, 1};
+    crash.parts = {part};
+    schedulers.front().on_crash(start, crash);
+    for (std::size_t index = 0; index < groups.size(); ++index)
+    {
+        schedulers[index].set_runners(
+            start, {{"r" + groups[index].zone, groups[index].zone, slots}});
+        for (std::size_t other = 0; other < groups.size(); ++other)
+        {
+            group_status status = schedulers[other].make_group_status(start);
+            status.group = groups[other];
+            if (other != index)
+            {
+                schedulers[index].on_group_status(start, status);
+            }
+        }
+    }
+    std::size_t granted = 0;
+    std::size_t redirected = 0;
+    for (std::size_t index = 0; index < groups.size(); ++index)
+    {
+        slot_request request;
+        request.id = {"n" + std::to_string(index), 1, 1};
+        request.group = groups[index];
+        request.target_time_left = 300ms;
+        request.time_left = 5s;
+        request.request_digest = 50 + index;
+        request.parts = {part};
+        for (const slot_decision& decision :
+             schedulers[index].on_request(start + 10ms, request))
+        {
+            granted += decision.kind == slot_decision_kind::granted ? 1 : 0;
+            redirected +=
+                decision.kind == slot_decision_kind::redirected ? 1 : 0;
+        }
+    }
+    EXPECT_EQ(granted, 1U);
+    EXPECT_EQ(redirected, 2U);
+}
+
 } // namespace
 
 } // namespace chicory::serving
