Items: Run an item again under which all runners crashed

What operators of a like system saw: during a burst of crashes several servers died under the same item; afterwards there was room, but the item was never placed again.

Cause, here too, twice: an item avoids the last two runners that failed it (excluded) as long as it lives, so that a service or a zone's group with two usable runners never gets it again; and after three runs without an event it waited 5, 10, then 15 s, as if it crashed runners by itself, which items never do.

Change: the exclusion of an item holds only while another usable runner exists, and the pause grows from 50 ms to 800 ms.

--- a/policy/serving/item_retry.cpp
+++ b/policy/serving/item_retry.cpp
@@ -9,23 +9,18 @@
 namespace
 {
 
-/// Number of consecutive runs that may fail by coincidence, for example because
-/// several runners stop at the same time.
-constexpr int immediate_retries = 3;
-constexpr duration initial_pause = std::chrono::seconds(5);
-/// An item must run again within 20 s; otherwise it counts as lost.
-constexpr duration max_pause = std::chrono::seconds(15);
+constexpr duration first_pause = std::chrono::milliseconds(50);
+constexpr int max_doublings = 4;
 
 } // namespace
 
 duration choose_item_pause(int closed_runs)
 {
-    if (closed_runs < immediate_retries)
+    if (closed_runs <= 0)
     {
         return duration::zero();
     }
-    const int doublings = std::min(closed_runs - immediate_retries, 2);
-    return std::min<duration>(max_pause, initial_pause * (1 << doublings));
+    return first_pause * (1 << std::min(closed_runs - 1, max_doublings));
 }
 
 } // namespace chicory::serving
--- a/policy/serving/runner_slots.cpp
+++ b/policy/serving/runner_slots.cpp
@@ -6,6 +6,18 @@
 namespace chicory::serving
 {
 
+namespace
+{
+
+bool is_excluded(const slot_request& request, const std::string& runner)
+{
+    const std::vector<std::string>& excluded = request.excluded;
+    return std::find(excluded.begin(), excluded.end(), runner) !=
+           excluded.end();
+}
+
+} // namespace
+
 runner_slots::runner_slots(runner_slots_settings initial) : settings(initial)
 {
 }
@@ -138,10 +150,21 @@
     {
         return false;
     }
-    return std::find(
-               request.excluded.begin(),
-               request.excluded.end(),
-               use.runner.id) == request.excluded.end();
+    // An item has no caller that waits, and no other end than a completed run.
+    return !is_excluded(request, use.runner.id) ||
+           (request.kind == work_kind::batch &&
+            this->is_every_runner_excluded(request));
+}
+
+bool runner_slots::is_every_runner_excluded(const slot_request& request) const
+{
+    return std::all_of(
+        this->runners.begin(),
+        this->runners.end(),
+        [&request](const auto& item)
+        {
+            return !item.second.usable || is_excluded(request, item.first);
+        });
 }
 
 std::optional<std::string> runner_slots::choose_idle_runner(
--- a/policy/serving/runner_slots.hpp
+++ b/policy/serving/runner_slots.hpp
@@ -102,6 +102,9 @@
         failure_rate failures;
     };
 
+    /// Returns whether a request excludes all usable runners. An item may then
+    /// use them again, because a runner that crashed under it may be back.
+    bool is_every_runner_excluded(const slot_request& request) const;
     bool may_use(
         time_point now,
         const runner_use& use,
--- a/policy/serving/slot_messages.hpp
+++ b/policy/serving/slot_messages.hpp
@@ -65,7 +65,8 @@
     part_digests parts = {};
     /// True if work that has begun may run again at another runner.
     bool repeatable = false;
-    /// Runners at which the work has failed.
+    /// Runners at which the work has failed. A request does not run there
+    /// again, an item only if there is no other usable runner.
     std::vector<std::string> excluded;
 
     bool operator==(const slot_request&) const = default;
--- a/tests/policy/serving/slot_scheduler_test.cpp
+++ b/tests/policy/serving/slot_scheduler_test.cpp
@@ -663,6 +663,40 @@
     }
 }
 
+// Guards against an item that is never placed again, because it avoids the
+// runners that crashed under it and the service has no others.
+TEST_F(slot_scheduler_test, an_item_that_failed_at_every_runner_is_placed_again)
+{
+    this->set_runners(2, 4);
+    slot_request item = make_item(1);
+    item.excluded = {"r0", "r1"};
+    EXPECT_EQ(
+        filter_by_kind(
+            this->scheduler.on_request(start, item),
+            slot_decision_kind::granted)
+            .size(),
+        1U);
+}
+
+// An exclusion still holds while there is another runner, even a busy one.
+TEST_F(
+    slot_scheduler_test, an_item_avoids_a_failed_runner_while_others_are_busy)
+{
+    this->set_runners(2, 1);
+    slot_request other = make_item(1);
+    other.excluded = {"r0"};
+    this->scheduler.on_request(start, other);
+    slot_request item = make_item(2);
+    item.excluded = {"r0"};
+    this->scheduler.on_request(start, item);
+    for (const slot_decision& decision : this->scheduler.on_release(
+             start + 10ms, other.id, slot_outcome::completed))
+    {
+        EXPECT_EQ(decision.runner, "r1");
+    }
+    EXPECT_EQ(this->scheduler.waiting(work_kind::batch), 0U);
+}
+
 } // namespace
 
 } // namespace chicory::serving
