--- a/tests/wire/slot_packet_fuzz_test.cpp
+++ b/tests/wire/slot_packet_fuzz_test.cpp
@@ -21,6 +21,7 @@
     request.zone = "z1";
     request.target_time_left = std::chrono::milliseconds(300);
     request.excluded = {"i-1", "i-2"};
+    request.parts = {1001, 1002};
     serving::held_slot held;
     held.id = {"vm-1", 7, 41};
     held.group = {"chat", "z1", 2};
@@ -51,7 +52,13 @@
     group_status_packet status{
         {"chat", "z2", 0},
         {{"chat", "z1", 2}, 4, 5, -3, {{99, {"vm-1", 7, 40}}}}};
-    return {request, report, release, decisions, status};
+    report.crashed.front().parts = {1001};
+    report.crashed.front().runner = "i-3";
+    release.parts = {1001, 1002};
+    release.runner = "i-3";
+    decisions.decisions.front().report_first_event = true;
+    const first_event reported = {{"chat", "z1", 2}, request.id};
+    return {request, report, release, decisions, status, reported};
 }
 
 } // namespace
