--- a/tests/servers/node/deadly_part_test.cpp
+++ b/tests/servers/node/deadly_part_test.cpp
@@ -183,6 +183,56 @@
     EXPECT_EQ(this->ask("aa:100,dead:40"), 503);
 }
 
+// Guards against a part that crashes runners again after all nodes restarted,
+// and against a quarantine that an operator cannot end.
+TEST_F(deadly_part_test, a_node_that_starts_refuses_by_the_record_until_removed)
+{
+    serving::trait_quarantine quarantine;
+    quarantine.trait = serving::digest_parts("a.example", {"dead"}).front();
+    quarantine.companions = {quarantine.trait};
+    const std::string key = serving::to_text({quarantine.trait});
+    constexpr std::int64_t far_future_ms = 4'000'000'000'000;
+    this->store.put("quarantine", "", key, to_text(quarantine, far_future_ms));
+    this->start_node("vm-1");
+    // The node follows the changes of the table once it has read all records.
+    this->wait_until(
+        [this]
+        {
+            return this->store.calls["rows-feed quarantine"] > 0;
+        });
+    EXPECT_EQ(this->ask("aa:100,dead:40"), 503);
+    EXPECT_EQ(this->crashes(), 0U);
+    EXPECT_EQ(this->ask("aa:100"), 200);
+    for (const std::unique_ptr<standins::engine_standin>& runner :
+         this->runners)
+    {
+        runner->deadly_part.clear();
+    }
+    this->store.remove("quarantine", "", key);
+    this->wait_until(
+        [this]
+        {
+            return this->ask("aa:100,dead:40") == 200;
+        });
+}
+
+TEST_F(deadly_part_test, another_member_may_use_the_same_value)
+{
+    this->start_node("vm-1");
+    for (int round = 0; round < 4; ++round)
+    {
+        this->ask("aa:100");
+        this->ask("aa:100,dead:40");
+    }
+    for (const std::unique_ptr<standins::engine_standin>& runner :
+         this->runners)
+    {
+        runner->deadly_part.clear();
+    }
+    EXPECT_EQ(this->ask("aa:100,dead:40"), 503);
+    EXPECT_EQ(this->ask("aa:100,dead:40", "b.example"), 200);
+}
+
 } // namespace
 
 } // namespace chicory::node
