Wire: Read and write empty vectors of numbers without a null pointer

The digests of parts are the first vectors of numbers in a packet; an empty one passed a null pointer to memcpy, which UBSan reported in wire_test. Found in the sanitizer build before the landing.

--- a/wire/memory_archive.hpp
+++ b/wire/memory_archive.hpp
@@ -33,7 +33,11 @@
 
     void write(const void* data, std::size_t size)
     {
-        this->bytes.append(static_cast<const char*>(data), size);
+        // An empty vector of numbers has no address.
+        if (size > 0)
+        {
+            this->bytes.append(static_cast<const char*>(data), size);
+        }
     }
 
 private:
@@ -56,8 +60,11 @@
     void read(void* data, std::size_t size)
     {
         this->require(size);
-        std::memcpy(data, this->bytes.data(), size);
-        this->bytes.remove_prefix(size);
+        if (size > 0)
+        {
+            std::memcpy(data, this->bytes.data(), size);
+            this->bytes.remove_prefix(size);
+        }
     }
 
     /// Throws cereal::Exception when fewer than `size` bytes remain.
