--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -49,9 +49,10 @@
         self.server = None
         self.beat_task = None
         self.channels = set()
-        # Hook of a case: `hook(runner, id, after)` names what a run does:
-        # None, "fail", or ("silent", N) after N events.
-        self.hook = None
+        # A dark runner sends nothing.
+        self.dark = False
+        # Hook of a case: `hook(runner, id)` tells whether a run fails.
+        self.fails = None
 
     async def start(self):
         self.server = await http1.serve(self.address, self.handle)
@@ -125,6 +126,10 @@
             headers["X-Not-Executed"] = "1"
             writer.write(http1.make_answer(503, b"", headers))
             return True
+        while self.dark:
+            await asyncio.sleep(0.02)
+            if reader.at_eof():
+                return False
         self.waiting += 1
         try:
             while len(self.running) >= self.slots:
@@ -149,10 +154,9 @@
             del self.running[key]
 
     async def work(self, request_id, after, headers, reader, writer):
-        order = self.hook(self, request_id, after) if self.hook else None
         headers["X-Response-Stamp"] = hashlib.sha256(
             (self.name + request_id).encode()).hexdigest()[:24]
-        if order == "fail":
+        if self.fails is not None and self.fails(self, request_id):
             writer.write(http1.make_answer(
                 500, b"the model failed", headers))
             await writer.drain()
@@ -165,10 +169,8 @@
         while number <= self.events:
             until = min(number + self.batch, self.events + 1)
             await asyncio.sleep(self.event_s * (until - number))
-            if isinstance(order, tuple) and number > order[1]:
-                # Sends nothing more until the caller closes the channel.
-                while not reader.at_eof():
-                    await asyncio.sleep(0.02)
+            while self.dark and not reader.at_eof():
+                await asyncio.sleep(0.02)
             if reader.at_eof() or writer.transport.is_closing():
                 return "closed"
             text = "".join(
