Jobs: Store no job before the store's clock is known

Callers saw: a job got its 202 and seconds later each of its items was listed as errored, 5 s after the first send on a route that retains jobs for 60 s.

Cause: submit read a record to learn the store's clock, ignored that the read failed, and stored the job with accepted_ms 0. Each node took the uptime of the store for the age of the job and gave its items up.

The read of the clock runs on its own and submissions share it. An unknown time makes a job young, and a record with time 0 gets a time with its next change.

Why it works: every transaction that stores a job now has a time that came from a response of the store, and every age that cannot be known is zero.

--- a/policy/serving/job_record.cpp
+++ b/policy/serving/job_record.cpp
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <exception>
 #include <set>
 #include <utility>
@@ -144,6 +145,17 @@
             std::to_string(text.size()) + " bytes of other content");
 }
 
+duration
+job_age(const job_record& job, std::optional<std::int64_t> store_now_ms)
+{
+    if (!store_now_ms || job.accepted_ms <= 0)
+    {
+        return duration::zero();
+    }
+    return std::chrono::milliseconds(
+        std::max<std::int64_t>(0, *store_now_ms - job.accepted_ms));
+}
+
 bool is_open(const job_record& job)
 {
     return !job.ended && job.listed.size() < job.tokens.size();
--- a/policy/serving/job_record.hpp
+++ b/policy/serving/job_record.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,7 +57,8 @@
     /// hint: commits of a node that no longer owns the job fail.
     std::string owner;
     std::uint64_t owner_incarnation = 0;
-    /// Time of acceptance in milliseconds, by the clock of the store.
+    /// Time of acceptance in milliseconds, by the clock of the store; zero if
+    /// it is unknown.
     std::int64_t accepted_ms = 0;
     /// Number of records that hold the submission; zero if it is saved as an
     /// object.
@@ -81,6 +83,13 @@
 result<job_record>
 decode_job(std::string_view id, std::string_view text, std::int64_t version);
 
+/// Returns the time since a job was accepted. `store_now_ms` is the clock of
+/// the store, if it is known. Designed for nodes that start while the store is
+/// unavailable: an unknown time makes a job young, because an item that is
+/// given up too early is lost, while one that is kept longer is only late.
+duration
+job_age(const job_record& job, std::optional<std::int64_t> store_now_ms);
+
 /// Returns whether the job has items left to run.
 bool is_open(const job_record& job);
 
--- a/servers/node/job_store.cpp
+++ b/servers/node/job_store.cpp
@@ -1,5 +1,7 @@
 #include "servers/node/job_store.hpp"
 
+#include "net/net.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -131,10 +133,7 @@
 
 duration job_store::age_of(const serving::job_record& job) const
 {
-    const std::int64_t now_ms =
-        this->records.clock_ms().value_or(job.accepted_ms);
-    return std::chrono::milliseconds(
-        std::max<std::int64_t>(0, now_ms - job.accepted_ms));
+    return serving::job_age(job, this->records.clock_ms());
 }
 
 asio::awaitable<result<std::optional<ports::record>>> job_store::read_record(
@@ -181,6 +180,45 @@
     co_return boost::outcome_v2::success();
 }
 
+asio::awaitable<void>
+job_store::read_clock(std::string partition, std::string id)
+{
+    // Each response about records carries the clock.
+    static_cast<void>(co_await this->read_record(
+        std::move(partition), std::string(job_table), std::move(id)));
+    this->is_reading_clock = false;
+}
+
+asio::awaitable<result<std::int64_t>> job_store::wait_for_clock(
+    std::string partition, std::string id, time_point until)
+{
+    asio::steady_timer timer(this->context);
+    while (true)
+    {
+        if (const std::optional<std::int64_t> now_ms = this->records.clock_ms())
+        {
+            co_return *now_ms;
+        }
+        if (read_monotonic_clock() >= until)
+        {
+            co_return make_error(
+                error_kind::unavailable,
+                "jobs: expected the clock of the store, found no response");
+        }
+        // The read may take longer than this call may wait, so it runs on its
+        // own, and submissions share it.
+        if (!std::exchange(this->is_reading_clock, true))
+        {
+            net::spawn_guarded(
+                this->context.get_executor(),
+                "reading the clock of the store",
+                this->read_clock(partition, id));
+        }
+        timer.expires_after(version_poll_interval);
+        co_await timer.async_wait(as_result);
+    }
+}
+
 asio::awaitable<submit_outcome> job_store::submit(
     serving::job_record job, std::string body, std::int64_t max_waiting_tokens)
 {
@@ -210,14 +248,14 @@
         {
             co_return submit_outcome::accepted;
         }
-        if (!this->records.clock_ms())
+        const result<std::int64_t> store_now_ms = co_await this->wait_for_clock(
+            partition, job.id, started + duration(refused_submit_limit));
+        if (!store_now_ms)
         {
-            // The store has not responded yet, so its clock is unknown. A read
-            // obtains it.
-            static_cast<void>(co_await this->read_record(
-                partition, std::string(job_table), job.id));
+            // No transaction has been sent: that needs the clock.
+            co_return submit_outcome::unavailable;
         }
-        job.accepted_ms = this->records.clock_ms().value_or(0);
+        job.accepted_ms = store_now_ms.value();
         ports::record_transaction request;
         request.partition = partition;
         request.conditions.push_back({std::string(job_table), job.id, 0});
@@ -383,6 +421,11 @@
         {
             co_return before;
         }
+        if (next->record.accepted_ms <= 0)
+        {
+            // Without a time of acceptance, the job would never expire.
+            next->record.accepted_ms = this->records.clock_ms().value_or(0);
+        }
         ports::record_transaction request;
         request.partition = partition;
         request.conditions.push_back(
--- a/servers/node/job_store.hpp
+++ b/servers/node/job_store.hpp
@@ -144,6 +144,12 @@
 private:
     void notify(const std::string& id);
     void notify_change();
+    /// Waits until the store's clock is known. Error: unavailable when it is
+    /// still unknown at `until`.
+    boost::asio::awaitable<result<std::int64_t>>
+    wait_for_clock(std::string partition, std::string id, time_point until);
+    boost::asio::awaitable<void>
+    read_clock(std::string partition, std::string id);
     boost::asio::awaitable<result<std::optional<ports::record>>>
     read_record(std::string partition, std::string table, std::string key);
     boost::asio::awaitable<result<void>>
@@ -163,6 +169,8 @@
     job_view view;
     table_watch watch;
     std::function<void()> on_change;
+    /// True while a read that obtains the store's clock is in progress.
+    bool is_reading_clock = false;
     text_cache texts;
     std::map<std::string, std::set<boost::asio::steady_timer*>> waiters;
 };
--- a/tests/policy/serving/serving_test.cpp
+++ b/tests/policy/serving/serving_test.cpp
@@ -160,6 +160,19 @@
     EXPECT_EQ(read.value(), job);
 }
 
+// Guards against jobs that expire because a time is unknown: a node starts
+// while the store is unavailable, or a record lacks its time of acceptance.
+TEST(job_record_test, a_job_is_young_while_its_age_is_unknown)
+{
+    job_record job = make_job();
+    EXPECT_EQ(
+        job_age(job, job.accepted_ms + 1500), std::chrono::milliseconds(1500));
+    EXPECT_EQ(job_age(job, job.accepted_ms - 1), duration::zero());
+    EXPECT_EQ(job_age(job, std::nullopt), duration::zero());
+    job.accepted_ms = 0;
+    EXPECT_EQ(job_age(job, 1791261950013), duration::zero());
+}
+
 TEST(job_record_test, rejects_items_listed_twice_and_invalid_text)
 {
     job_record job = make_job();
--- /dev/null
+++ b/tests/servers/node/job_store_test.cpp
@@ -0,0 +1,99 @@
+#include "servers/node/job_store.hpp"
+#include "tests/support/memory_platform.hpp"
+#include "tests/support/memory_records.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace chicory::node
+{
+
+namespace
+{
+
+/// Clock of a store that runs for hours, longer than jobs are retained.
+constexpr std::int64_t store_now_ms = 40'000'000;
+constexpr std::int64_t record_bytes = 65536;
+
+class job_store_test : public ::testing::Test
+{
+protected:
+    job_store_test()
+        : store(this->io, this->records, this->objects, record_bytes, 1)
+    {
+        this->records.now_ms = store_now_ms;
+    }
+
+    submit_outcome submit(const std::string& id)
+    {
+        serving::job_record job;
+        job.id = id;
+        job.route = "letters";
+        job.owner = "vm-1";
+        job.tokens = {100};
+        return testing_support::run_to_end(
+            this->io, this->store.submit(std::move(job), "{}", 0));
+    }
+
+    boost::asio::io_context io{1};
+    testing_support::memory_records records;
+    testing_support::memory_objects objects;
+    job_store store;
+};
+
+// Guards against a job without a time of acceptance, whose items every node
+// gives up at once. A node starts while the store is unavailable, and the store
+// is back between the read of its clock and the transaction.
+TEST_F(job_store_test, a_job_is_not_stored_before_the_store_clock_is_known)
+{
+    this->records.failing_reads = 3;
+    EXPECT_EQ(this->submit("j1"), submit_outcome::accepted);
+    const serving::job_record* job = this->store.find("j1");
+    ASSERT_NE(job, nullptr);
+    EXPECT_EQ(job->accepted_ms, store_now_ms);
+    EXPECT_EQ(this->store.age_of(*job), duration::zero());
+}
+
+// Guards against a submission that waits without end for the clock of a store
+// that does not respond, and against a refusal that is not true.
+TEST_F(job_store_test, a_submission_without_the_store_clock_is_refused)
+{
+    this->records.failing_reads = 1'000'000;
+    EXPECT_EQ(this->submit("j1"), submit_outcome::unavailable);
+    EXPECT_EQ(this->records.transactions, 0);
+    EXPECT_TRUE(this->records.rows.empty());
+}
+
+// Guards against the loss of a job that an earlier version stored without a
+// time of acceptance.
+TEST_F(job_store_test, a_stored_job_without_a_time_is_young_and_gets_a_time)
+{
+    ASSERT_EQ(this->submit("j1"), submit_outcome::accepted);
+    ports::record& row = this->records.rows.at(
+        {std::string(job_table), make_partition("letters"), "j1"});
+    serving::job_record stored = *this->store.find("j1");
+    stored.accepted_ms = 0;
+    row.value = serving::encode_job(stored);
+    ++row.version;
+    const result<serving::job_record> read =
+        testing_support::run_to_end(this->io, this->store.look_up("j1"));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read.value().accepted_ms, 0);
+    EXPECT_EQ(this->store.age_of(read.value()), duration::zero());
+    const job_store::change_function take_over =
+        [](const serving::job_record& record) -> std::optional<job_change>
+    {
+        job_change change{record, {}};
+        change.record.owner = "vm-2";
+        return change;
+    };
+    const result<serving::job_record> changed = testing_support::run_to_end(
+        this->io, this->store.change("j1", take_over, std::chrono::seconds(1)));
+    ASSERT_TRUE(changed);
+    EXPECT_EQ(changed.value().accepted_ms, store_now_ms);
+}
+
+} // namespace
+
+} // namespace chicory::node
