Slots: Work that waits for a slot follows its route

Online callers in the same place waited up to their deadline, also when the route had been removed, and a broken stream was resumed at the old service.

Cause: an item chose its service before it waited for a slot, and the wait had no end; a group without runners never refuses an item. An online call kept the route of its arrival through all its attempts.

Change: a request for a slot carries a check whether its requirements still hold, which runs when the configuration has changed and once more before a granted slot is used. If not, it is withdrawn and made again by the new table. may_keep_waiting decides what counts as a change. Items take their time limits from the current route. An online call takes the current route for each attempt; without one it ends with 404, as a new request would. A request is repeated only if the routes of its arrival and of now allow it.

A withdrawn request holds no slot, so that nothing runs twice.

--- a/policy/serving/serving_configuration.cpp
+++ b/policy/serving/serving_configuration.cpp
@@ -56,6 +56,18 @@
     return route.services.front().service;
 }
 
+bool may_keep_waiting(
+    const serving_route& before, const serving_route* now, std::uint64_t draw)
+{
+    return now != nullptr && now->host == before.host &&
+           now->kind == before.kind && now->resumable == before.resumable &&
+           now->timeout == before.timeout &&
+           now->target_latency == before.target_latency &&
+           now->completion_target == before.completion_target &&
+           now->retention == before.retention &&
+           choose_service(*now, draw) == choose_service(before, draw);
+}
+
 bool is_repeatable(const serving_route& route)
 {
     return route.kind == route_kind::idempotent ||
--- a/policy/serving/serving_configuration.hpp
+++ b/policy/serving/serving_configuration.hpp
@@ -108,6 +108,15 @@
 const std::string&
 choose_service(const serving_route& route, std::uint64_t draw);
 
+/// Returns whether work that began to wait for a slot under `before` may go on
+/// waiting under `now`, the same route in a newer configuration, or null if the
+/// route was removed. `draw` is the number with which the service was chosen.
+/// Designed for routes that move, change their shares or time limits, or are
+/// removed while work waits: that work would wait for runners that nobody needs
+/// any more and that may be gone.
+bool may_keep_waiting(
+    const serving_route& before, const serving_route* now, std::uint64_t draw);
+
 /// Returns whether a request that may already have run can be sent again.
 bool is_repeatable(const serving_route& route);
 
--- a/servers/node/item_execution.cpp
+++ b/servers/node/item_execution.cpp
@@ -44,12 +44,11 @@
     const platform::job_item& initial_item,
     std::string initial_job,
     std::string route_name,
-    time_point initial_target_deadline,
-    time_point initial_deadline,
+    time_point initial_accepted_at,
     const std::vector<serving::item_piece>& saved)
     : context(io), services(shared_services), item(initial_item),
       job(std::move(initial_job)), route(std::move(route_name)),
-      target_deadline(initial_target_deadline), deadline(initial_deadline),
+      accepted_at(initial_accepted_at),
       output_tokens(platform::parse_caller_parameters(initial_item.headers)
                         .max_output_tokens)
 {
@@ -159,6 +158,27 @@
     co_await this->pause(std::max<duration>(retry_pause, delay));
 }
 
+slot_requirements item_execution::make_slot_requirements(
+    const serving::serving_route& current) const
+{
+    const std::uint64_t draw = hash_bytes(this->item.id);
+    slot_requirements requirements;
+    requirements.kind = serving::work_kind::batch;
+    requirements.service = serving::choose_service(current, draw);
+    requirements.target_deadline =
+        this->accepted_at + current.completion_target;
+    requirements.deadline = this->accepted_at + current.retention;
+    requirements.expected_work = this->expected_work();
+    requirements.repeatable = true;
+    requirements.excluded = this->avoided_runners;
+    requirements.still_hold = [this, current, draw]
+    {
+        return serving::may_keep_waiting(
+            current, this->services.fleet.find_route(this->route).get(), draw);
+    };
+    return requirements;
+}
+
 asio::awaitable<item_execution::step> item_execution::run_once()
 {
     const std::shared_ptr<const serving::serving_route> found_route =
@@ -168,18 +188,15 @@
         co_await this->pause(no_route_pause);
         co_return step::retry;
     }
-    slot_requirements requirements;
-    requirements.kind = serving::work_kind::batch;
-    requirements.service =
-        serving::choose_service(*found_route, hash_bytes(this->item.id));
-    requirements.target_deadline = this->target_deadline;
-    requirements.deadline = this->deadline;
-    requirements.expected_work = this->expected_work();
-    requirements.repeatable = true;
-    requirements.excluded = this->avoided_runners;
+    slot_requirements requirements = this->make_slot_requirements(*found_route);
+    const time_point target_deadline = requirements.target_deadline;
     const std::string host = found_route->host;
     const slot_result slot = co_await this->services.slots.acquire(
         std::move(requirements), this->slot_wait_cancellation);
+    if (slot.kind == slot_result::result_kind::outdated)
+    {
+        co_return step::retry;
+    }
     if (slot.kind != slot_result::result_kind::granted)
     {
         co_await this->pause(retry_pause);
@@ -207,7 +224,7 @@
          {"slot", slot.id.number},
          {"coordinator", slot.coordinator},
          {"due_in_ms",
-          (this->target_deadline - read_monotonic_clock()).count() / 1000},
+          (target_deadline - read_monotonic_clock()).count() / 1000},
          {"after", this->text.last_event_id()}});
     const time_point started = read_monotonic_clock();
     runner_outcome outcome = co_await this->services.runners.send(
--- a/servers/node/item_execution.hpp
+++ b/servers/node/item_execution.hpp
@@ -42,8 +42,7 @@
         const platform::job_item& initial_item,
         std::string initial_job,
         std::string route_name,
-        time_point initial_target_deadline,
-        time_point initial_deadline,
+        time_point initial_accepted_at,
         const std::vector<serving::item_piece>& saved);
 
     /// Executes the item until it has one of the outcomes of `item_outcome`.
@@ -77,6 +76,8 @@
     void preempt();
     void close_run();
     duration expected_work() const;
+    slot_requirements
+    make_slot_requirements(const serving::serving_route& current) const;
     boost::asio::awaitable<step> run_once();
     boost::asio::awaitable<step> handle_response(
         const slot_result& slot, std::unique_ptr<net::http_stream> response);
@@ -91,8 +92,8 @@
     const platform::job_item& item;
     std::string job;
     std::string route;
-    time_point target_deadline;
-    time_point deadline;
+    /// Time at which the item's job was accepted.
+    time_point accepted_at;
     std::int64_t output_tokens;
     serving::item_progress text;
     /// Total time of the item's finished runs, including those before the last
--- a/servers/node/job_runner.cpp
+++ b/servers/node/job_runner.cpp
@@ -390,15 +390,15 @@
     const serving::serving_route& route,
     duration time_left)
 {
-    const time_point target_deadline = read_monotonic_clock() + time_left;
+    const time_point accepted_at =
+        read_monotonic_clock() + time_left - route.completion_target;
     job->executions[item] = std::make_shared<item_execution>(
         this->context,
         this->services,
         job->items.at(static_cast<std::size_t>(item)),
         job->id,
         route.name,
-        target_deadline,
-        target_deadline - route.completion_target + route.retention,
+        accepted_at,
         job->saved[item]);
     net::spawn_guarded(
         this->context.get_executor(),
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr int status_first_redirection = 300;
+constexpr int status_not_found = 404;
 constexpr int status_failed = 500;
 constexpr int status_bad_gateway = 502;
 constexpr int status_gateway_timeout = 504;
@@ -39,15 +40,13 @@
     std::string initial_body,
     time_point received)
     : services(initial_services),
-      configuration(std::move(initial_configuration)), route(initial_route),
-      exchange(caller), body(std::move(initial_body)),
+      configuration(std::move(initial_configuration)), route(&initial_route),
+      was_repeatable(serving::is_repeatable(initial_route)), exchange(caller),
+      body(std::move(initial_body)),
       parameters(platform::parse_caller_parameters(caller.head().headers)),
       arrived(received), timer(io)
 {
-    const duration limit = std::min(
-        this->parameters.time_limit.value_or(initial_route.timeout),
-        initial_route.timeout);
-    this->deadline = received + limit;
+    this->set_deadline();
     this->digest = hash_bytes(
         this->body,
         hash_bytes(
@@ -71,7 +70,7 @@
     log_event(
         event::request_admitted,
         {{"request", this->parameters.attempt_id},
-         {"route", this->route.name},
+         {"route", this->route->name},
          {"revision", this->configuration->version}});
     step next = step::retry;
     while (next == step::retry)
@@ -86,6 +85,43 @@
     this->timer.cancel();
 }
 
+void online_call::set_deadline()
+{
+    this->deadline =
+        this->arrived +
+        std::min(
+            this->parameters.time_limit.value_or(this->route->timeout),
+            this->route->timeout);
+}
+
+bool online_call::may_run_again() const
+{
+    return this->was_repeatable && serving::is_repeatable(*this->route);
+}
+
+bool online_call::update_route()
+{
+    const std::shared_ptr<const serving::serving_configuration> current =
+        this->services.fleet.configuration();
+    if (current == this->configuration)
+    {
+        return true;
+    }
+    const serving::serving_route* found = serving::find_route(
+        *current,
+        this->parameters.host,
+        platform::path_of(this->exchange.head().target));
+    if (found == nullptr || found->kind == serving::route_kind::batch)
+    {
+        return false;
+    }
+    this->configuration = current;
+    this->route = found;
+    this->set_deadline();
+    this->start_timer();
+    return true;
+}
+
 void online_call::start_timer()
 {
     this->timer.expires_after(this->deadline - read_monotonic_clock());
@@ -130,16 +166,26 @@
 
 slot_requirements online_call::make_slot_requirements() const
 {
+    const std::uint64_t draw = hash_bytes(this->parameters.attempt_id);
     slot_requirements requirements;
     requirements.kind = serving::work_kind::online;
-    requirements.service = serving::choose_service(
-        this->route, hash_bytes(this->parameters.attempt_id));
-    requirements.target_deadline = this->arrived + this->route.target_latency;
+    requirements.service = serving::choose_service(*this->route, draw);
+    requirements.target_deadline = this->arrived + this->route->target_latency;
     requirements.deadline = this->deadline;
     requirements.request_digest = this->digest;
     requirements.parts = this->parts;
-    requirements.repeatable = serving::is_repeatable(this->route);
+    requirements.repeatable = this->may_run_again();
     requirements.excluded = this->failed_runners;
+    requirements.still_hold = [this, draw]
+    {
+        return serving::may_keep_waiting(
+            *this->route,
+            serving::find_route(
+                *this->services.fleet.configuration(),
+                this->parameters.host,
+                platform::path_of(this->exchange.head().target)),
+            draw);
+    };
     return requirements;
 }
 
@@ -168,8 +214,18 @@
 
 asio::awaitable<online_call::step> online_call::attempt()
 {
+    if (!this->update_route())
+    {
+        co_await this->reject_without_route();
+        co_return step::done;
+    }
+    slot_requirements requirements = this->make_slot_requirements();
     const slot_result slot = co_await this->services.slots.acquire(
-        this->make_slot_requirements(), this->slot_request_cancellation);
+        std::move(requirements), this->slot_request_cancellation);
+    if (slot.kind == slot_result::result_kind::outdated)
+    {
+        co_return step::retry;
+    }
     if (slot.kind == slot_result::result_kind::refused)
     {
         this->refused_slot = slot.id.number;
@@ -202,8 +258,8 @@
          {"coordinator", slot.coordinator},
          {"waited_ms", (read_monotonic_clock() - this->arrived).count() / 1000},
          {"direct", slot.direct ? 1 : 0}});
-    const bool may_repeat = serving::is_repeatable(this->route) &&
-                            this->runs + 1 < this->route.max_attempts;
+    const bool may_repeat =
+        this->may_run_again() && this->runs + 1 < this->route->max_attempts;
     const duration left = this->deadline - read_monotonic_clock();
     const duration head_limit =
         may_repeat ? std::min<duration>(left, repeatable_head_limit) : left;
@@ -243,8 +299,7 @@
         {
             co_return step::retry;
         }
-        if (serving::is_repeatable(this->route) &&
-            this->runs < this->route.max_attempts)
+        if (this->may_run_again() && this->runs < this->route->max_attempts)
         {
             this->services.counters.count_retry(reason::runner_unreachable);
             co_return step::retry;
@@ -366,8 +421,9 @@
     bool has_event = false;
     while (!this->is_aborted())
     {
-        const bool may_resume =
-            this->route.resumable && this->runs < this->route.max_attempts;
+        const bool may_resume = this->route->resumable &&
+                                this->may_run_again() &&
+                                this->runs < this->route->max_attempts;
         const duration left = this->deadline - read_monotonic_clock();
         const result<std::string> piece = co_await this->stream->read_some(
             may_resume ? std::min<duration>(left, resumable_silence_limit)
@@ -484,8 +540,8 @@
                          : serving::slot_outcome::rejected;
     }
     this->release(slot, outcome);
-    if (failed && serving::is_repeatable(this->route) &&
-        this->runs < this->route.max_attempts)
+    if (failed && this->may_run_again() &&
+        this->runs < this->route->max_attempts)
     {
         this->failed_runners.push_back(slot.runner);
         this->log_failed_attempt(
@@ -524,6 +580,23 @@
     co_await this->fail(status_gateway_timeout, reason::deadline_passed);
 }
 
+asio::awaitable<void> online_call::reject_without_route()
+{
+    if (this->head_sent || this->runs > 0)
+    {
+        co_await this->fail(status_bad_gateway, reason::unknown_route);
+        co_return;
+    }
+    this->services.counters.count_refusal(reason::unknown_route);
+    log_event(
+        event::request_refused,
+        {{"request", this->parameters.attempt_id},
+         {"reason", std::string(name_of(reason::unknown_route))},
+         {"revision", this->services.fleet.configuration()->version}});
+    co_await this->exchange.respond(net::make_text_response(
+        status_not_found, "no route for this host and path"));
+}
+
 asio::awaitable<void> online_call::refuse(duration retry_after, reason why)
 {
     if (this->head_sent || this->runs > 0)
--- a/servers/node/online_call.hpp
+++ b/servers/node/online_call.hpp
@@ -48,7 +48,14 @@
     void on_deadline();
     void close_run();
     bool is_aborted() const;
+    /// Applies the current configuration to the rest of the call. Returns
+    /// false if it has no route for the request any more.
+    bool update_route();
+    void set_deadline();
+    /// Returns whether the request may run once more if it has run already.
+    bool may_run_again() const;
     slot_requirements make_slot_requirements() const;
+    boost::asio::awaitable<void> reject_without_route();
     net::http_request make_request(const std::string& runner) const;
     boost::asio::awaitable<step> attempt();
     boost::asio::awaitable<step>
@@ -80,7 +87,10 @@
 
     run_services services;
     std::shared_ptr<const serving::serving_configuration> configuration;
-    const serving::serving_route& route;
+    /// Points into `configuration`.
+    const serving::serving_route* route;
+    /// Whether the route allowed to repeat the request when it arrived.
+    bool was_repeatable;
     net::http_exchange& exchange;
     std::string body;
     platform::caller_parameters parameters;
--- a/servers/node/slot_client.cpp
+++ b/servers/node/slot_client.cpp
@@ -160,12 +160,31 @@
     this->resolve(pending, std::move(result));
 }
 
+std::int64_t slot_client::configuration_version() const
+{
+    const auto configuration = this->fleet.configuration();
+    return configuration == nullptr ? 0 : configuration->version;
+}
+
+bool slot_client::is_current(pending_request& pending) const
+{
+    const std::int64_t version = this->configuration_version();
+    if (!pending.requirements.still_hold ||
+        pending.configuration_version == version)
+    {
+        return true;
+    }
+    pending.configuration_version = version;
+    return pending.requirements.still_hold();
+}
+
 asio::awaitable<slot_result> slot_client::acquire(
     slot_requirements requirements, slot_cancellation& cancellation)
 {
     const std::uint64_t number = this->next_number++;
     const auto pending = std::make_shared<pending_request>();
     pending->requirements = std::move(requirements);
+    pending->configuration_version = this->configuration_version();
     serving::slot_request& request = pending->request;
     request.id = {this->self, this->incarnation, number};
     request.kind = pending->requirements.kind;
@@ -197,9 +216,15 @@
     {
         this->send_request(read_monotonic_clock(), *pending);
     }
+    bool outdated = false;
     while (!pending->resolved && !cancellation.cancelled)
     {
         const time_point now = read_monotonic_clock();
+        outdated = !this->is_current(*pending);
+        if (outdated)
+        {
+            break;
+        }
         this->update_group(*pending);
         const bool online =
             pending->requirements.kind == serving::work_kind::online;
@@ -230,7 +255,9 @@
     cancellation.wake = {};
     pending->timer = nullptr;
     this->pending_requests.erase(number);
-    if (pending->resolved &&
+    // The configuration may have changed since the last check.
+    outdated = outdated || !this->is_current(*pending);
+    if (pending->resolved && !outdated &&
         pending->result.kind == slot_result::result_kind::granted)
     {
         const time_point now = read_monotonic_clock();
@@ -244,17 +271,23 @@
         slot.parts = request.parts;
         slot.report_first_event = pending->result.report_first_event;
     }
-    if (pending->resolved)
+    if (pending->resolved && !outdated)
     {
         co_return pending->result;
     }
-    this->send(
-        pending->coordinator,
-        wire::slot_release{
-            request.group, request.id, serving::slot_outcome::unused});
-    slot_result cancelled;
-    cancelled.id = request.id;
-    co_return cancelled;
+    if (!pending->coordinator.empty())
+    {
+        this->send(
+            pending->coordinator,
+            wire::slot_release{
+                request.group, request.id, serving::slot_outcome::unused});
+    }
+    slot_result ended;
+    ended.id = request.id;
+    ended.kind = outdated && !cancellation.cancelled
+                     ? slot_result::result_kind::outdated
+                     : slot_result::result_kind::cancelled;
+    co_return ended;
 }
 
 void slot_client::release(
--- a/servers/node/slot_client.hpp
+++ b/servers/node/slot_client.hpp
@@ -39,6 +39,10 @@
     bool repeatable = false;
     /// Runners that must not be chosen.
     std::vector<std::string> excluded;
+    /// Returns whether the requirements still hold. Called when the
+    /// configuration has changed while the request waits. An empty function
+    /// means that they always hold.
+    std::function<bool()> still_hold;
 };
 
 /// Result of a slot request.
@@ -52,6 +56,8 @@
         cancelled,
         /// The request has crashed runners and must not run again.
         quarantined,
+        /// The requirements no longer hold under the current configuration.
+        outdated,
     };
     result_kind kind = result_kind::cancelled;
     serving::slot_id id;
@@ -142,6 +148,8 @@
         slot_requirements requirements;
         std::string coordinator;
         time_point last_sent;
+        /// Version of the configuration under which the requirements hold.
+        std::int64_t configuration_version = 0;
         bool resolved = false;
         slot_result result;
         boost::asio::steady_timer* timer = nullptr;
@@ -162,6 +170,10 @@
     };
 
     void tick();
+    /// Returns whether the requirements of a request hold under the current
+    /// configuration.
+    bool is_current(pending_request& pending) const;
+    std::int64_t configuration_version() const;
     std::optional<std::string>
     find_coordinator(time_point now, const serving::runner_group& group);
     void send_request(time_point now, pending_request& pending);
--- a/tests/policy/serving/serving_test.cpp
+++ b/tests/policy/serving/serving_test.cpp
@@ -129,6 +129,27 @@
     EXPECT_EQ(progress.text(), "a");
 }
 
+// Guards against work that waits for a service that its route no longer names:
+// an operator moves the route, changes its shares or removes it.
+TEST(serving_configuration_test, waiting_work_follows_changes_of_its_route)
+{
+    serving_route before;
+    before.host = "a.example";
+    before.services = {{"old", 1}};
+    EXPECT_TRUE(may_keep_waiting(before, &before, 7));
+    EXPECT_FALSE(may_keep_waiting(before, nullptr, 7));
+    serving_route moved = before;
+    moved.services = {{"new", 1}};
+    EXPECT_FALSE(may_keep_waiting(before, &moved, 7));
+    serving_route split = before;
+    split.services = {{"old", 90}, {"new", 10}};
+    EXPECT_TRUE(may_keep_waiting(before, &split, 89));
+    EXPECT_FALSE(may_keep_waiting(before, &split, 90));
+    serving_route shorter = before;
+    shorter.timeout = before.timeout / 2;
+    EXPECT_FALSE(may_keep_waiting(before, &shorter, 7));
+}
+
 TEST(item_progress_test, gives_up_only_after_the_last_attempt)
 {
     EXPECT_EQ(judge_failures({2, 0}, 3), failure_decision::run_again);
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -15,6 +15,7 @@
 #include <csignal>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace chicory::node
 {
@@ -48,6 +49,19 @@
     return R"({"version":)" + std::to_string(version) + "," + routes;
 }
 
+/// Returns a configuration in which all routes lead to another service.
+std::string make_moved_configuration(int version, const std::string& service)
+{
+    static const std::string field = R"("service":"chat")";
+    std::string text = make_configuration(version);
+    for (std::size_t at = text.find(field); at != std::string::npos;
+         at = text.find(field, at))
+    {
+        text.replace(at, field.size(), R"("service":")" + service + '"');
+    }
+    return text;
+}
+
 class node_process_test : public ::testing::Test
 {
 protected:
@@ -175,16 +189,73 @@
         return this->send(this->settings.requests, std::move(request));
     }
 
+    /// Sends a request and returns where its response will be; the status is
+    /// zero until then.
+    std::shared_ptr<net::http_response>
+    post_in_background(const std::string& path, const std::string& attempt)
+    {
+        const auto response = std::make_shared<net::http_response>();
+        response->status = 0;
+        net::http_request request;
+        request.method = "POST";
+        request.target = path;
+        request.headers["host"] = "a.example";
+        request.headers["x-attempt-id"] = attempt;
+        request.headers["x-deadline-ms"] = "5000";
+        asio::co_spawn(
+            this->io,
+            [this, response, request]() -> asio::awaitable<void>
+            {
+                net::http_request message = request;
+                result<net::http_response> outcome =
+                    co_await this->http.request(
+                        this->settings.requests, std::move(message), max_wait);
+                this->response_incomplete = !outcome;
+                if (outcome)
+                {
+                    *response = std::move(outcome.value());
+                }
+                else
+                {
+                    response->status = -1;
+                }
+            },
+            asio::detached);
+        return response;
+    }
+
+    /// Starts with no runner left and with a request that waits for one.
+    std::shared_ptr<net::http_response> start_with_waiting_request()
+    {
+        this->start_serving();
+        this->store.remove("servers", "", "i-1");
+        std::shared_ptr<net::http_response> response;
+        this->wait_until(
+            [&]
+            {
+                // The first one is refused; one that comes back after that
+                // waits up to its deadline. The target latency is 1 s, so a
+                // later refusal is not possible.
+                response = this->post_in_background("/go-on/1", "t1");
+                this->io.run_for(400ms);
+                return response->status == 0;
+            });
+        return response;
+    }
+
     /// Submits a job of two items and returns the status of the response.
-    int submit(const std::string& id, int tokens = 100)
+    int submit(
+        const std::string& id,
+        int tokens = 100,
+        const std::string& path = "/jobs/x")
     {
         const std::string item =
-            R"(","path":"/jobs/x","headers":{"X-Model":"m"},"body":"aGk=",)"
-            R"("tokens":)" +
+            R"(","path":")" + path +
+            R"(","headers":{"X-Model":"m"},"body":"aGk=","tokens":)" +
             std::to_string(tokens) + "}";
         return this
             ->post_request(
-                "/jobs/x",
+                path,
                 id,
                 R"({"requests":[{"id":"a-)" + id + item + R"(,{"id":"b-)" + id +
                     item + "]}")
@@ -638,6 +709,130 @@
     EXPECT_EQ(this->post_request("/ask/1", "t3", "").status, 404);
 }
 
+// Guards against items that never run: they wait for a slot while their route
+// moves to another service and all runners of the previous one leave.
+TEST_F(node_process_test, items_that_wait_follow_their_route)
+{
+    this->start_serving();
+    this->store.remove("servers", "", "i-1");
+    this->wait_until(
+        [this]
+        {
+            return this->post_request("/ask/1", "t1", "").status == 503;
+        });
+    ASSERT_EQ(this->submit("j1"), 202);
+    this->io.run_for(300ms);
+    this->second.service = "other";
+    this->register_runner(this->second, "ready");
+    this->store.put("op", "", "config", make_moved_configuration(2, "other"));
+    this->wait_for_results("j1", 2);
+    this->expect_in_results("j1", "state", "completed");
+    EXPECT_EQ(this->second.arrivals.size(), 2U);
+}
+
+// Guards against items that wait for a route that was removed, and never run
+// after it was added again with another service.
+TEST_F(node_process_test, items_that_wait_end_with_their_route)
+{
+    this->start_serving();
+    this->store.remove("servers", "", "i-1");
+    this->wait_until(
+        [this]
+        {
+            return this->post_request("/ask/1", "t1", "").status == 503;
+        });
+    ASSERT_EQ(this->submit("j1"), 202);
+    this->io.run_for(300ms);
+    this->store.put("op", "", "config", R"({"version":2,"routes":[]})");
+    this->wait_until(
+        [this]
+        {
+            return this->store.value("jobs", "j1").find(R"("listed":[[)") !=
+                   std::string::npos;
+        });
+    this->second.service = "other";
+    this->register_runner(this->second, "ready");
+    this->store.put("op", "", "config", make_moved_configuration(3, "other"));
+    this->wait_for_results("j1", 2);
+    this->expect_in_results("j1", "state", "errored");
+    ASSERT_EQ(this->submit("j2"), 202);
+    this->wait_for_results("j2", 2);
+    this->expect_in_results("j2", "state", "completed");
+    EXPECT_EQ(this->second.arrivals.size(), 2U);
+}
+
+// Guards against a caller that waits up to its deadline for runners of a
+// service to which its route no longer leads.
+TEST_F(node_process_test, a_request_that_waits_follows_its_route)
+{
+    const auto response = this->start_with_waiting_request();
+    this->second.service = "other";
+    this->register_runner(this->second, "ready");
+    this->store.put("op", "", "config", make_moved_configuration(2, "other"));
+    this->wait_until(
+        [&response]
+        {
+            return response->status != 0;
+        });
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(this->second.arrivals.size(), 1U);
+}
+
+// Guards against a caller that waits up to its deadline although its route was
+// removed.
+TEST_F(node_process_test, a_request_that_waits_ends_with_its_route)
+{
+    const auto response = this->start_with_waiting_request();
+    this->store.put("op", "", "config", R"({"version":2,"routes":[]})");
+    this->wait_until(
+        [&response]
+        {
+            return response->status != 0;
+        });
+    EXPECT_EQ(response->status, 404);
+}
+
+// Guards against a broken stream that is resumed at the service that its route
+// named when the request arrived.
+TEST_F(node_process_test, a_stream_is_resumed_by_the_current_route)
+{
+    this->start_serving();
+    this->first.events = 100000;
+    const auto response = this->post_in_background("/go-on/1", "t1");
+    this->wait_for_arrivals(1);
+    this->second.service = "other";
+    this->register_runner(this->second, "ready");
+    std::string moved = make_moved_configuration(2, "other");
+    const std::string field = R"("routes":[)";
+    moved.insert(
+        moved.find(field) + field.size(),
+        R"({"name":"new","host":"a.example","prefix":"/new/",
+        "route_kind":"streaming","service":"other"},)");
+    this->store.put("op", "", "config", moved);
+    this->wait_until(
+        [this]
+        {
+            return this->post_request("/new/1", "t2", "").status == 200;
+        });
+    this->second.events = 100000;
+    this->first.break_after_event = 1;
+    this->wait_until(
+        [this]
+        {
+            return this->second.arrivals.size() == 2;
+        });
+    this->second.events = 4;
+    this->wait_until(
+        [&response]
+        {
+            return response->status != 0;
+        });
+    EXPECT_FALSE(this->response_incomplete);
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(this->second.arrivals.back().attempt, "t1");
+    EXPECT_GT(this->second.arrivals.back().after, 0);
+}
+
 TEST_F(node_process_test, runs_a_job_and_stores_its_results)
 {
     this->start_serving();
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -60,7 +60,7 @@
 
 std::string engine_standin::entry(const std::string& state) const
 {
-    return R"({"service":"chat","addr":"127.0.0.1:)" +
+    return R"({"service":")" + this->service + R"(","addr":"127.0.0.1:)" +
            std::to_string(this->server.port()) +
            R"(","zone":"z1","slots":8,"state":")" + state + R"(","born":)" +
            std::to_string(this->started_ms) + R"(,"seq":1})";
--- a/tests/standins/engine_standin.hpp
+++ b/tests/standins/engine_standin.hpp
@@ -44,6 +44,8 @@
 
     const std::string& id() const;
 
+    /// Service that the entry names.
+    std::string service = "chat";
     std::vector<engine_arrival> arrivals;
     std::int64_t events = 4;
     std::chrono::milliseconds event_time{1};
