Items: Give each service places of its own to wait for slots

Cause: a node lets 12 of its items wait for slots. It counted the items of all services together, so that 12 items of a lost service stopped the batch work of the node until they were given up after the route's retention time.

Change: item_admission counts the waiting items of each service: 12 places for each, 768 for all, and always one for a service without a waiting item.

--- a/servers/node/item_execution.cpp
+++ b/servers/node/item_execution.cpp
@@ -44,10 +44,12 @@
     const platform::job_item& initial_item,
     std::string initial_job,
     std::string route_name,
+    std::string initial_service,
     time_point initial_accepted_at,
     const std::vector<serving::item_piece>& saved)
     : context(io), services(shared_services), item(initial_item),
       job(std::move(initial_job)), route(std::move(route_name)),
+      used_service(std::move(initial_service)),
       accepted_at(initial_accepted_at),
       output_tokens(platform::parse_caller_parameters(initial_item.headers)
                         .max_output_tokens)
@@ -93,6 +95,11 @@
     return !this->has_slot;
 }
 
+const std::string& item_execution::service() const
+{
+    return this->used_service;
+}
+
 const serving::item_progress& item_execution::progress() const
 {
     return this->text;
@@ -158,13 +165,14 @@
     co_await this->pause(std::max<duration>(retry_pause, delay));
 }
 
-slot_requirements item_execution::make_slot_requirements(
-    const serving::serving_route& current) const
+slot_requirements
+item_execution::make_slot_requirements(const serving::serving_route& current)
 {
     const std::uint64_t draw = hash_bytes(this->item.id);
     slot_requirements requirements;
     requirements.kind = serving::work_kind::batch;
     requirements.service = serving::choose_service(current, draw);
+    this->used_service = requirements.service;
     requirements.target_deadline =
         this->accepted_at + current.completion_target;
     requirements.deadline = this->accepted_at + current.retention;
--- a/servers/node/item_execution.hpp
+++ b/servers/node/item_execution.hpp
@@ -42,6 +42,7 @@
         const platform::job_item& initial_item,
         std::string initial_job,
         std::string route_name,
+        std::string initial_service,
         time_point initial_accepted_at,
         const std::vector<serving::item_piece>& saved);
 
@@ -55,6 +56,9 @@
     /// Returns whether the item does not hold a slot.
     bool is_waiting() const;
 
+    /// Returns the service whose slot the item holds or waits for.
+    const std::string& service() const;
+
     const serving::item_progress& progress() const;
 
     /// Returns the events that are not saved yet, or nothing when all are
@@ -77,7 +81,7 @@
     void close_run();
     duration expected_work() const;
     slot_requirements
-    make_slot_requirements(const serving::serving_route& current) const;
+    make_slot_requirements(const serving::serving_route& current);
     boost::asio::awaitable<step> run_once();
     boost::asio::awaitable<step> handle_response(
         const slot_result& slot, std::unique_ptr<net::http_stream> response);
@@ -92,6 +96,7 @@
     const platform::job_item& item;
     std::string job;
     std::string route;
+    std::string used_service;
     /// Time at which the item's job was accepted.
     time_point accepted_at;
     std::int64_t output_tokens;
--- a/servers/node/job_runner.cpp
+++ b/servers/node/job_runner.cpp
@@ -24,10 +24,6 @@
 constexpr std::chrono::milliseconds failure_pause(150);
 /// A job with less time left counts as late when items are chosen.
 constexpr std::chrono::seconds min_item_time(2);
-/// Number of items of one node that wait for slots concurrently. All nodes
-/// together then request about as many slots as there are, and no coordinator
-/// has to order thousands of requests.
-constexpr std::size_t max_waiting_items = 12;
 
 } // namespace
 
@@ -308,17 +304,20 @@
                           : this->services.fleet.find_route(job->route);
 }
 
-std::size_t job_runner::count_waiting() const
+serving::item_admission job_runner::count_waiting() const
 {
-    std::size_t waiting = 0;
+    serving::item_admission admission;
     for (const auto& [id, job] : this->active)
     {
         for (const auto& [item, execution] : job->executions)
         {
-            waiting += execution->is_waiting() ? 1 : 0;
+            if (execution->is_waiting())
+            {
+                admission.add(execution->service());
+            }
         }
     }
-    return waiting;
+    return admission;
 }
 
 bool job_runner::is_finished(const active_job& job, std::int64_t item)
@@ -365,20 +364,45 @@
             return std::tie(first.late, first.time_left) <
                    std::tie(second.late, second.time_left);
         });
-    std::size_t waiting = this->count_waiting();
+    serving::item_admission admission = this->count_waiting();
     for (const candidate& next : jobs)
     {
+        const auto may_start_any = [&]
+        {
+            return std::any_of(
+                next.route->services.begin(),
+                next.route->services.end(),
+                [&admission](const serving::service_share& share)
+                {
+                    return admission.may_start(share.service);
+                });
+        };
+        // Most jobs wait for services without free places; their items are not
+        // examined.
+        if (!may_start_any())
+        {
+            continue;
+        }
         for (const std::int64_t item : serving::unlisted_items(*next.record))
         {
-            if (waiting >= max_waiting_items)
+            if (next.job->executions.contains(item) ||
+                this->is_finished(*next.job, item))
+            {
+                continue;
+            }
+            const std::string& service = serving::choose_service(
+                *next.route,
+                hash_bytes(
+                    next.job->items.at(static_cast<std::size_t>(item)).id));
+            if (admission.may_start(service))
             {
-                return;
+                this->start_item(
+                    next.job, item, *next.route, service, next.time_left);
+                admission.add(service);
             }
-            if (!next.job->executions.contains(item) &&
-                !this->is_finished(*next.job, item))
+            else if (!may_start_any())
             {
-                this->start_item(next.job, item, *next.route, next.time_left);
-                ++waiting;
+                break;
             }
         }
     }
@@ -388,6 +412,7 @@
     const std::shared_ptr<active_job>& job,
     std::int64_t item,
     const serving::serving_route& route,
+    const std::string& service,
     duration time_left)
 {
     const time_point accepted_at =
@@ -398,6 +423,7 @@
         job->items.at(static_cast<std::size_t>(item)),
         job->id,
         route.name,
+        service,
         accepted_at,
         job->saved[item]);
     net::spawn_guarded(
--- a/servers/node/job_runner.hpp
+++ b/servers/node/job_runner.hpp
@@ -99,8 +99,10 @@
         const std::shared_ptr<active_job>& job,
         std::int64_t item,
         const serving::serving_route& route,
+        const std::string& service,
         duration time_left);
-    std::size_t count_waiting() const;
+    /// Returns the items of this node that wait for slots.
+    serving::item_admission count_waiting() const;
     static bool is_finished(const active_job& job, std::int64_t item);
     /// Returns the route of a job, or null when the job or its route does not
     /// exist.
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -833,6 +833,39 @@
     EXPECT_GT(this->second.arrivals.back().after, 0);
 }
 
+// Guards against a lost service that stops the batch work of other members:
+// more of its items wait for slots than a node lets wait at a time.
+TEST_F(node_process_test, a_lost_service_does_not_stop_jobs_of_another)
+{
+    std::string configuration = make_configuration(1);
+    const std::string field = R"("routes":[)";
+    configuration.insert(
+        configuration.find(field) + field.size(),
+        R"({"name":"others","host":"a.example","prefix":"/others/",
+        "route_kind":"batch","timeout_ms":5000,"target_latency_ms":1000,
+        "service":"other","max_attempts":3,"retention_s":60,
+        "completion_target_ms":18000},)");
+    this->store.put("op", "", "config", configuration);
+    this->second.service = "other";
+    this->register_runner(this->second, "ready");
+    this->start();
+    this->wait_until(
+        [this]
+        {
+            return this->get(this->settings.readiness, "/-/readyz").status ==
+                   200;
+        });
+    // No runner serves the route of these jobs.
+    for (int number = 0; number < 10; ++number)
+    {
+        ASSERT_EQ(this->submit("lost-" + std::to_string(number)), 202);
+    }
+    this->io.run_for(300ms);
+    ASSERT_EQ(this->submit("sound", 100, "/others/x"), 202);
+    this->wait_for_results("sound", 2);
+    this->expect_in_results("sound", "state", "completed");
+}
+
 TEST_F(node_process_test, runs_a_job_and_stores_its_results)
 {
     this->start_serving();
