Quarantine: Apply no record while the store's clock is unknown

Every response that carries such records carries the clock too, so no caller is known to have seen it. The record is rejected and logged now. Test: quarantine_record_test.a_quarantine_of_unknown_age_is_not_applied; it does not compile against the old signature.

--- a/servers/node/quarantine_records.cpp
+++ b/servers/node/quarantine_records.cpp
@@ -60,12 +60,13 @@
 }
 
 std::optional<serving::trait_quarantine>
-read_quarantine(const ports::record& source, std::int64_t now_ms)
+read_quarantine(const ports::record& source, std::optional<std::int64_t> now_ms)
 {
     const std::optional<std::uint64_t> trait = read_trait(source.key);
     boost::system::error_code code;
     const json::value parsed = json::parse(source.value, code);
-    if (!trait || code)
+    // Without the store's clock, nobody can tell how long a quarantine lasts.
+    if (!trait || code || !now_ms)
     {
         return std::nullopt;
     }
@@ -77,8 +78,8 @@
         quarantine.count = fields.at("count").to_number<std::int64_t>();
         const auto until_ms = fields.at("until_ms").to_number<std::int64_t>();
         const std::int64_t left_ms =
-            std::clamp<std::int64_t>(until_ms, now_ms, now_ms + max_left_ms) -
-            now_ms;
+            std::clamp<std::int64_t>(until_ms, *now_ms, *now_ms + max_left_ms) -
+            *now_ms;
         quarantine.time_left = std::chrono::milliseconds(left_ms);
         for (const json::value& companion : fields.at("companions").as_array())
         {
@@ -139,7 +140,7 @@
         return;
     }
     const std::optional<serving::trait_quarantine> quarantine =
-        read_quarantine(changed, this->store.clock_ms().value_or(0));
+        read_quarantine(changed, this->store.clock_ms());
     if (!quarantine)
     {
         log_event(
--- a/servers/node/quarantine_records.hpp
+++ b/servers/node/quarantine_records.hpp
@@ -26,8 +26,8 @@
 
 /// Returns the quarantine of a record at a time of the store's clock, or
 /// nothing if the record cannot be decoded.
-std::optional<serving::trait_quarantine>
-read_quarantine(const ports::record& source, std::int64_t now_ms);
+std::optional<serving::trait_quarantine> read_quarantine(
+    const ports::record& source, std::optional<std::int64_t> now_ms);
 
 /// Quarantines of the fleet in the store, one record for each trait. Nodes that
 /// have no contact with each other, and nodes that start after all others have
--- a/tests/servers/node/quarantine_record_fuzz_test.cpp
+++ b/tests/servers/node/quarantine_record_fuzz_test.cpp
@@ -42,4 +42,19 @@
     EXPECT_GT(rejected, 0U);
 }
 
+// Guards against a quarantine that lasts for up to a day because the store's
+// clock is unknown and taken for zero.
+TEST(quarantine_record_test, a_quarantine_of_unknown_age_is_not_applied)
+{
+    serving::trait_quarantine quarantine;
+    quarantine.trait = 0x1f;
+    quarantine.companions = {0x1f};
+    quarantine.count = 2;
+    ports::record record;
+    record.key = "000000000000001f";
+    record.value = to_text(quarantine, 40'000'000);
+    EXPECT_TRUE(read_quarantine(record, 39'999'000));
+    EXPECT_EQ(read_quarantine(record, std::nullopt), std::nullopt);
+}
+
 } // namespace chicory::node
