Jobs: Read early texts past a full cache

Cause: a read took the texts from the cache into which it had just put them; the cache, full of later jobs, drops those of the earliest job at once.

Evidence: job_store_test.texts_of_early_jobs_are_read_past_a_full_cache failed before the change: "expected the text at position 0, found none".

Change: a read returns the texts that it has read from the store, whether the cache keeps them or not.

Why it works: the answer no longer depends on what the cache keeps. A read of an early job costs one call to the store.

--- a/servers/node/job_store.cpp
+++ b/servers/node/job_store.cpp
@@ -561,7 +561,7 @@
     this->texts.insert(id, position, std::move(text));
 }
 
-asio::awaitable<result<void>> job_store::load_texts(
+asio::awaitable<result<std::vector<std::string>>> job_store::load_texts(
     const serving::job_record& job, std::string partition, std::size_t position)
 {
     ports::record_range range = make_part_range(
@@ -577,7 +577,7 @@
     {
         values[entry.key] = &entry.value;
     }
-    // One read returns the texts of many positions.
+    std::vector<std::string> loaded;
     for (std::size_t next = position; next < job.listed.size(); ++next)
     {
         const std::int64_t at = static_cast<std::int64_t>(next);
@@ -587,9 +587,10 @@
         {
             break;
         }
+        loaded.push_back(*text);
         this->cache_text(job.id, at, std::move(*text));
     }
-    co_return boost::outcome_v2::success();
+    co_return loaded;
 }
 
 asio::awaitable<result<std::vector<std::string>>>
@@ -604,23 +605,37 @@
     const std::string partition = known->partition;
     std::vector<std::string> found;
     std::size_t bytes = 0;
+    // Texts of the last read, from this position on.
+    std::vector<std::string> loaded;
+    std::size_t loaded_from = 0;
     for (std::size_t position = static_cast<std::size_t>(from);
          position < job.listed.size();
          ++position)
     {
         const std::int64_t at = static_cast<std::int64_t>(position);
         const bool is_empty = job.listed[position].text_records == 0;
-        if (!is_empty && this->texts.find(id, at) == nullptr)
+        const auto is_loaded = [&]
+        {
+            return position >= loaded_from &&
+                   position - loaded_from < loaded.size();
+        };
+        if (!is_empty && !is_loaded() && this->texts.find(id, at) == nullptr)
         {
-            const result<void> loaded =
+            result<std::vector<std::string>> read =
                 co_await this->load_texts(job, partition, position);
-            if (!loaded)
+            if (!read)
             {
-                co_return loaded.error();
+                co_return read.error();
             }
+            loaded = std::move(read.value());
+            loaded_from = position;
         }
         const std::string empty;
         const std::string* text = is_empty ? &empty : this->texts.find(id, at);
+        if (text == nullptr && is_loaded())
+        {
+            text = &loaded[position - loaded_from];
+        }
         if (text == nullptr)
         {
             if (!found.empty())
--- a/servers/node/job_store.hpp
+++ b/servers/node/job_store.hpp
@@ -156,8 +156,10 @@
     wait_for_version(std::string partition, std::int64_t version);
     boost::asio::awaitable<result<std::string>> find_partition(std::string id);
     boost::asio::awaitable<result<std::string>> read_body(std::string id);
-    /// Reads the texts from a position on into the cache.
-    boost::asio::awaitable<result<void>> load_texts(
+    /// Reads the texts from a position on, as many as one call returns, and
+    /// caches them. Returns them, because the cache may have evicted them
+    /// already. Errors: unavailable, timeout.
+    boost::asio::awaitable<result<std::vector<std::string>>> load_texts(
         const serving::job_record& job,
         std::string partition,
         std::size_t position);
--- a/tests/servers/node/job_store_test.cpp
+++ b/tests/servers/node/job_store_test.cpp
@@ -94,6 +94,36 @@
     EXPECT_EQ(changed.value().accepted_ms, store_now_ms);
 }
 
+// Guards against results that cannot be read: a burst of jobs fills the cache
+// of texts, which drops the texts of earlier jobs as soon as they are read from
+// the store.
+TEST_F(job_store_test, texts_of_early_jobs_are_read_past_a_full_cache)
+{
+    ASSERT_EQ(this->submit("early"), submit_outcome::accepted);
+    const job_store::change_function list_result =
+        [this](const serving::job_record& record) -> std::optional<job_change>
+    {
+        job_change change{record, {}};
+        change.writes = this->store.make_text_writes("early", 0, "the text");
+        change.record.listed.push_back({0, serving::item_state::completed, 1});
+        return change;
+    };
+    ASSERT_TRUE(testing_support::run_to_end(
+        this->io,
+        this->store.change("early", list_result, std::chrono::seconds(1))));
+    this->records.now_ms += 1000;
+    ASSERT_EQ(this->submit("late"), submit_outcome::accepted);
+    constexpr std::size_t text_bytes = 1 << 20;
+    for (std::int64_t position = 0; position < 33; ++position)
+    {
+        this->store.cache_text("late", position, std::string(text_bytes, 'x'));
+    }
+    const result<std::vector<std::string>> texts = testing_support::run_to_end(
+        this->io, this->store.read_texts("early", 0, text_bytes));
+    ASSERT_TRUE(texts);
+    EXPECT_EQ(texts.value(), std::vector<std::string>{"the text"});
+}
+
 } // namespace
 
 } // namespace chicory::node
