Runners: One odd entry does not hide the others

Other operators reported: another writer left an odd entry in the list of runners, and the processes that read it ended or stopped following it.

What can happen here: no process ended. One row whose value is not base64 stopped the following of the whole list, also after a restart. Entries whose address is none counted as runners; up to four were tried first, and requests were refused with runner_refused beside an idle runner.

Cause: read_records failed for the page at the first row it could not read; neither split_endpoint nor read_runner checked the address.

Change: such a value is read as empty, which replaces what was known under its key; a row without a name or version is logged and left out.

Why it works: each row is judged by itself, and an entry that cannot be connected to never reaches the scheduler.

--- a/core/event.cpp
+++ b/core/event.cpp
@@ -89,6 +89,7 @@
         {runner_entry_rejected, "runner_entry_rejected", warning, "The entry of a runner cannot be read; the runner is not used."},
         {runner_changed, "runner_changed", info, "The known state of a runner has changed."},
         {quarantine_record_rejected, "quarantine_record_rejected", error, "The record of a quarantine in the store cannot be read."},
+        {store_row_rejected, "store_row_rejected", error, "A row in a response of the store has no name or version and is left out."},
 
         {order_lease_taken, "order_lease_taken", info, "This VM issues the orders of a pool."},
         {order_lease_lost, "order_lease_lost", warning, "This VM no longer issues the orders of a pool."},
--- a/core/event.hpp
+++ b/core/event.hpp
@@ -79,6 +79,7 @@
     runner_entry_rejected = 505,
     runner_changed = 506,
     quarantine_record_rejected = 507,
+    store_row_rejected = 508,
 
     // 600: orders to engines.
     order_lease_taken = 600,
--- a/net/endpoint.cpp
+++ b/net/endpoint.cpp
@@ -1,5 +1,7 @@
 #include "net/endpoint.hpp"
 
+#include <boost/asio/ip/address_v4.hpp>
+
 #include <charconv>
 
 namespace chicory::net
@@ -24,4 +26,13 @@
     return parsed;
 }
 
+bool is_ipv4_host(std::string_view address)
+{
+    boost::system::error_code code;
+    const boost::asio::ip::address_v4 parsed =
+        boost::asio::ip::make_address_v4(address, code);
+    return !code && !parsed.is_unspecified() && !parsed.is_multicast() &&
+           parsed != boost::asio::ip::address_v4::broadcast();
+}
+
 } // namespace chicory::net
--- a/net/endpoint.hpp
+++ b/net/endpoint.hpp
@@ -29,6 +29,11 @@
 /// without a port from 1 to 65535. The address is not validated.
 std::optional<endpoint> split_endpoint(std::string_view text);
 
+/// Returns whether a text is the IPv4 address of a single host, so that a
+/// connection to it can be tried: no name, no address of another kind, neither
+/// 0.0.0.0 nor a multicast or broadcast address.
+bool is_ipv4_host(std::string_view address);
+
 } // namespace chicory::net
 
 #endif
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -1,5 +1,7 @@
 #include "platform/platform.hpp"
+#include "platform/record_document.hpp"
 
+#include <boost/json.hpp>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
@@ -108,6 +110,92 @@
     }
 }
 
+std::string make_entry(const std::string& field, const std::string& value)
+{
+    std::string entry = R"({"service":"c","addr":"10.0.0.9:1","zone":"z",)"
+                        R"("slots":8,"state":"ready","born":7)";
+    const std::size_t start = entry.find('"' + field + "\":");
+    if (start == std::string::npos)
+    {
+        return entry + ",\"" + field + "\":" + value + '}';
+    }
+    const std::size_t from = start + field.size() + 3;
+    const std::size_t end = entry.find(',', from);
+    entry.replace(
+        from, end == std::string::npos ? std::string::npos : end - from, value);
+    return entry + '}';
+}
+
+// Guards against requests that are sent to entries which another writer left
+// among the runners: an address that is none counted as a runner.
+TEST(runner_document_test, an_odd_entry_names_no_runner)
+{
+    ASSERT_TRUE(read_runner(make_runner_record(make_entry("seq", "1"))));
+    const std::string deep = std::string(20000, '[') + std::string(20000, ']');
+    const std::vector<std::pair<std::string, std::string>> odd = {
+        {"addr", R"("127.0.0.1:80:80")"},
+        {"addr", R"("[::1:80")"},
+        {"addr", R"("[::1]:80")"},
+        {"addr", R"("::1:80")"},
+        {"addr", R"("999.0.0.1:80")"},
+        {"addr", R"("0.0.0.0:80")"},
+        {"addr", R"("224.0.0.1:80")"},
+        {"addr", R"("255.255.255.255:80")"},
+        {"addr", R"("host:80")"},
+        {"addr", R"(":80")"},
+        {"addr", R"(" 10.0.0.9:80")"},
+        {"addr", R"("10.0.0.9: 80")"},
+        {"addr", R"("10.0.0.9:0")"},
+        {"addr", R"("10.0.0.9:65536")"},
+        {"addr", R"("10.0.0.9:-1")"},
+        {"addr", R"("10.0.0.9:+80")"},
+        {"addr", '"' + std::string(40000, 'x') + ":80\""},
+        {"addr", "null"},
+        {"slots", "0"},
+        {"slots", "-1"},
+        {"slots", "2.5"},
+        {"slots", "4097"},
+        {"slots", "9223372036854775808"},
+        {"slots", "1e999"},
+        {"slots", deep},
+        {"service", '"' + std::string(40000, 's') + '"'},
+        {"zone", '"' + std::string(40000, 'z') + '"'},
+        {"state", R"("\ud800")"},
+        {"state", "\"\xff\""},
+        {"born", R"("yesterday")"},
+        {"born", "1.5"},
+        {"born", "99999999999999999999"},
+        {"other", deep},
+        {"other", "\"\xc3\x28\""}};
+    for (const auto& [field, value] : odd)
+    {
+        const auto read =
+            read_runner(make_runner_record(make_entry(field, value)));
+        ASSERT_FALSE(read) << field << " " << value.substr(0, 80);
+        EXPECT_LT(read.error().text.size(), 400U) << field;
+    }
+}
+
+// Guards against a list of runners that nobody can follow because the value of
+// one row is not base64.
+TEST(record_document_test, an_odd_row_does_not_hide_the_others)
+{
+    const std::vector<ports::record> read =
+        read_records(boost::json::parse(
+                         R"({"rows":[{"table":"servers","part":"","key":"i-1",
+            "value":"no base64!","row_version":3},7,{"key":"i-2"},
+            {"table":"servers","part":"","key":"i-3","value":5,
+            "row_version":4},{"table":"servers","part":"","key":"i-4",
+            "value":"e30=","row_version":5}]})")
+                         .as_object());
+    ASSERT_EQ(read.size(), 3U);
+    EXPECT_EQ(read[0].key, "i-1");
+    EXPECT_EQ(read[0].value, "");
+    EXPECT_EQ(read[1].key, "i-3");
+    EXPECT_EQ(read[1].value, "");
+    EXPECT_EQ(read[2].value, "{}");
+}
+
 TEST(call_headers_test, forwards_end_to_end_headers_only)
 {
     const net::http_headers caller = {
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -424,6 +424,71 @@
     EXPECT_EQ(this->second.arrivals.size(), 20U);
 }
 
+// Guards against a list of runners that no node follows any more, and against
+// processes that end, because of entries that another writer left in it.
+TEST_F(node_process_test, odd_entries_do_not_hide_the_runners)
+{
+    this->store.raw_values["odd-1"] = "no base64!";
+    this->store.put("servers", "", "odd-1", "");
+    this->store.put("servers", "", "odd-2", std::string(30000, '['));
+    this->start_serving();
+    EXPECT_EQ(this->post_request("/ask/1", "t1", "").status, 200);
+    // They come later as well, and a sound entry becomes an odd one.
+    this->store.raw_values["odd-3"] = "%";
+    this->store.put("servers", "", "odd-3", "");
+    this->register_runner(this->second, "ready");
+    this->store.raw_values["i-1"] = "no base64!";
+    this->store.put("servers", "", "i-1", "");
+    this->wait_until(
+        [this]
+        {
+            return this->post_request("/ask/1", "t2", "").status == 200 &&
+                   !this->second.arrivals.empty();
+        });
+    const std::size_t before = this->first.arrivals.size();
+    for (int number = 0; number < 10; ++number)
+    {
+        const std::string attempt = "u" + std::to_string(number);
+        EXPECT_EQ(this->post_request("/ask/1", attempt, "").status, 200);
+    }
+    EXPECT_EQ(this->first.arrivals.size(), before);
+}
+
+// Guards against requests that are refused because up to four entries without
+// an address count as runners and are tried first.
+TEST_F(node_process_test, requests_go_past_entries_without_an_address)
+{
+    const std::string entry = this->first.entry("ready");
+    for (int number = 0; number < 60; ++number)
+    {
+        std::string odd = entry;
+        odd.insert(odd.find("127.0.0.1:"), number % 2 == 0 ? "999." : "[::1:");
+        this->store.put("servers", "", "odd-" + std::to_string(number), odd);
+    }
+    this->store.put("op", "", "config", make_configuration(1));
+    this->start();
+    this->wait_until(
+        [this]
+        {
+            return this->get(this->settings.readiness, "/-/readyz").status ==
+                   200;
+        });
+    const net::http_response refusal = this->post_request("/ask/1", "t0", "");
+    EXPECT_EQ(refusal.status, 503);
+    EXPECT_NE(refusal.body, name_of(reason::runner_refused));
+    this->register_runner(this->first, "ready");
+    this->wait_until(
+        [this]
+        {
+            return this->post_request("/ask/1", "t1", "").status == 200;
+        });
+    for (int number = 2; number < 30; ++number)
+    {
+        const std::string attempt = "t" + std::to_string(number);
+        EXPECT_EQ(this->post_request("/ask/1", attempt, attempt).status, 200);
+    }
+}
+
 TEST_F(node_process_test, a_draining_runner_gets_no_new_work)
 {
     this->start_serving();
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -76,6 +76,13 @@
     this->changes.push_back({name, this->version, value == nullptr});
 }
 
+std::string store_standin::encode_value(
+    const row_name& name, const std::string& value) const
+{
+    const auto raw = this->raw_values.find(std::get<2>(name));
+    return raw == this->raw_values.end() ? encode_base64(value) : raw->second;
+}
+
 void store_standin::put(
     const std::string& table,
     const std::string& partition,
@@ -206,7 +213,7 @@
                 {"table", std::get<0>(name)},
                 {"part", std::get<1>(name)},
                 {"key", std::get<2>(name)},
-                {"value", encode_base64(found->second.value)},
+                {"value", this->encode_value(name, found->second.value)},
                 {"row_version", current}});
         }
     }
@@ -279,7 +286,9 @@
                 {"table", table},
                 {"part", std::get<1>(entry.name)},
                 {"key", std::get<2>(entry.name)},
-                {"value", is_current ? encode_base64(row->second.value) : ""},
+                {"value",
+                 is_current ? this->encode_value(entry.name, row->second.value)
+                            : ""},
                 {"row_version", entry.version},
                 {"deleted", entry.deleted || !is_current}});
         }
@@ -322,7 +331,7 @@
                 {"table", table},
                 {"part", partition},
                 {"key", key},
-                {"value", encode_base64(row.value)},
+                {"value", this->encode_value(name, row.value)},
                 {"row_version", row.version}});
         }
     }
--- a/tests/standins/store_standin.hpp
+++ b/tests/standins/store_standin.hpp
@@ -60,6 +60,9 @@
     /// Returns the number of records in a table.
     std::size_t count(const std::string& table) const;
 
+    /// Texts to return as the values of rows in place of the encoded ones, by
+    /// key, as after a write of another writer.
+    std::map<std::string, std::string> raw_values;
     store_fault fault = store_fault::none;
     /// Delay before each call is handled.
     std::chrono::milliseconds delay{0};
@@ -90,6 +93,9 @@
     boost::asio::awaitable<void>
     serve_object(net::http_exchange& exchange, std::string body);
     void write(const row_name& name, const std::string* value);
+    /// Returns the value of a row as it is sent.
+    std::string
+    encode_value(const row_name& name, const std::string& value) const;
 
     boost::asio::io_context& context;
     net::http_server server;
