Runners: Bound the removals that are remembered

Each removed or odd entry left its name and version in memory for as long as the process ran, so that another writer with ever new names, or months of restarts, would use up a node's memory. 4,096 removals are remembered now; the older half is forgotten at once, which keeps the cost flat. The test remembered_removals_are_bounded replays 50,000 odd entries.

--- a/policy/serving/runner_directory.cpp
+++ b/policy/serving/runner_directory.cpp
@@ -88,9 +88,39 @@
         return;
     }
     this->removed[id] = version;
+    this->limit_removed();
     this->remove(now, id);
 }
 
+std::size_t runner_directory::removals() const
+{
+    return this->removed.size();
+}
+
+void runner_directory::limit_removed()
+{
+    if (this->removed.size() <= this->settings.max_removed)
+    {
+        return;
+    }
+    // Half of them at once, so that the cost of a removal stays flat.
+    std::vector<std::int64_t> versions;
+    versions.reserve(this->removed.size());
+    for (const auto& [id, version] : this->removed)
+    {
+        versions.push_back(version);
+    }
+    const auto middle =
+        versions.begin() + static_cast<std::ptrdiff_t>(versions.size() / 2);
+    std::nth_element(versions.begin(), middle, versions.end());
+    std::erase_if(
+        this->removed,
+        [oldest = *middle](const auto& item)
+        {
+            return item.second <= oldest;
+        });
+}
+
 void runner_directory::on_snapshot(
     time_point now,
     const std::vector<runner_entry>& entries,
--- a/policy/serving/runner_directory.hpp
+++ b/policy/serving/runner_directory.hpp
@@ -4,6 +4,7 @@
 #include "core/core.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -59,6 +60,8 @@
     /// most. It doubles with each failed connection.
     duration initial_avoidance = std::chrono::milliseconds(300);
     duration max_avoidance = std::chrono::seconds(3);
+    /// Maximum number of removals that are remembered.
+    std::size_t max_removed = 4096;
 };
 
 /// Tracks which runners may get new work. A runner gets no more work as soon as
@@ -81,6 +84,9 @@
     void
     on_removed(time_point now, const std::string& id, std::int64_t version);
 
+    /// Returns the number of removals that are remembered.
+    std::size_t removals() const;
+
     /// Records all entries as of a version. Entries that are missing from the
     /// snapshot are removed.
     void on_snapshot(
@@ -157,6 +163,8 @@
     bool may_have_expired(time_point now) const;
     bool has_announced_leaving(const runner_entry& entry) const;
     void remove(time_point now, const std::string& id);
+    /// Forgets the oldest removals when there are too many.
+    void limit_removed();
 
     runner_directory_settings settings;
     std::map<std::string, known_runner> runners;
--- a/tests/policy/serving/runner_directory_test.cpp
+++ b/tests/policy/serving/runner_directory_test.cpp
@@ -28,6 +28,24 @@
     return entry;
 }
 
+// Guards against memory that grows without end while another writer leaves odd
+// entries under new names, or runners restart under new names for months.
+TEST(runner_directory_test, remembered_removals_are_bounded)
+{
+    const runner_directory_settings settings;
+    runner_directory directory;
+    constexpr std::int64_t count = 50000;
+    for (std::int64_t version = 1; version <= count; ++version)
+    {
+        directory.on_removed(start, "odd-" + std::to_string(version), version);
+        ASSERT_LE(directory.removals(), settings.max_removed);
+    }
+    // An older entry of the newest one is not recorded again.
+    const std::string newest = "odd-" + std::to_string(count);
+    directory.on_entry(start, make_entry(newest, count - 1));
+    EXPECT_FALSE(directory.is_usable(start, newest));
+}
+
 TEST(runner_directory_test, a_draining_runner_gets_no_new_work)
 {
     runner_directory directory;
