Tests: A refusal that is written once more is no answer

Other operators reported: a faulty runner wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that a runner had run, or such a request ran twice.

It cannot happen here: a connection that carried a refusal is closed, bytes in an idle pause end the use of a connection, and an answer that names another request is discarded. repeated_refusal_test shows it for a refusal that is repeated at once, in an idle pause, after an answer, and ahead of the next answer on a new and on a kept connection, for once-only requests and for items; a_refusal_within_a_stream_breaks_it_off for one in the middle of a stream.

--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -3,19 +3,28 @@
 #include "tests/standins/engine_standin.hpp"
 #include "tests/standins/store_standin.hpp"
 #include "tests/support/endless_server.hpp"
+#include "tests/support/scripted_server.hpp"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 #include <gtest/gtest.h>
 
 #include <chrono>
 #include <csignal>
 #include <functional>
+#include <map>
 #include <memory>
+#include <sstream>
 #include <string>
+#include <vector>
 
 namespace chicory::node
 {
@@ -678,6 +687,299 @@
     this->expect_in_results("j1", "text", "text 1\ntext 2\ntext 3\ntext 4");
 }
 
+std::string make_chunk(const std::string& text)
+{
+    std::ostringstream size;
+    size << std::hex << text.size();
+    return size.str() + "\r\n" + text + "\r\n";
+}
+
+/// Returns the events from one number to another, both included.
+std::string make_events(std::int64_t from, std::int64_t to)
+{
+    std::string events;
+    for (std::int64_t number = from; number <= to; ++number)
+    {
+        events += "id: " + std::to_string(number) + "\ndata: text " +
+                  std::to_string(number) + "\n\n";
+    }
+    return events;
+}
+
+std::string make_head(
+    const std::string& status,
+    const std::string& attempt,
+    const std::string& headers)
+{
+    return "HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + attempt +
+           "\r\nX-Response-Stamp: stamp\r\n" + headers + "\r\n";
+}
+
+const std::string stream_headers = "Content-Type: text/event-stream\r\n"
+                                   "Transfer-Encoding: chunked\r\n";
+
+/// Returns a whole response with the events up to the fourth.
+std::string make_stream(const std::string& attempt, std::int64_t from)
+{
+    return make_head("200 OK", attempt, stream_headers) +
+           make_chunk(make_events(from, 4)) + "0\r\n\r\n";
+}
+
+std::string make_refusal_response(const std::string& attempt)
+{
+    return make_head(
+        "503 Service Unavailable",
+        attempt,
+        "X-Not-Executed: 1\r\nContent-Length: 0\r\n");
+}
+
+/// Tests with runners that send any bytes, in place of `first` and `second`.
+class scripted_runner_test : public node_process_test
+{
+protected:
+    void start_with_runners(
+        int count, testing_support::scripted_server::respond_hook respond)
+    {
+        this->store.put("op", "", "config", make_configuration(1));
+        for (int number = 0; number < count; ++number)
+        {
+            this->runners.push_back(
+                std::make_unique<testing_support::scripted_server>(
+                    this->io, respond));
+            this->store.put(
+                "servers",
+                "",
+                "s-" + std::to_string(number),
+                R"({"service":"chat","addr":"127.0.0.1:)" +
+                    std::to_string(this->runners.back()->port()) +
+                    R"(","zone":"z1","slots":8,"state":"ready","born":1})");
+        }
+        this->start();
+        this->wait_until(
+            [this]
+            {
+                return this->get(this->settings.readiness, "/-/readyz")
+                           .status == 200;
+            });
+    }
+
+    /// Sends a request and returns the body of the response as far as it
+    /// arrives. The bytes are read as they are, because a client would hide
+    /// those that are no part of a chunked body.
+    std::string read_stream(const std::string& path, const std::string& attempt)
+    {
+        bool done = false;
+        std::string received;
+        asio::co_spawn(
+            this->io,
+            [&]() -> asio::awaitable<void>
+            {
+                constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+                asio::ip::tcp::socket socket(this->io);
+                const asio::ip::tcp::endpoint target(
+                    asio::ip::make_address(this->settings.requests.address),
+                    this->settings.requests.port);
+                co_await socket.async_connect(target, as_result);
+                const std::string request =
+                    "POST " + path + " HTTP/1.1\r\nHost: a.example\r\n" +
+                    "X-Attempt-Id: " + attempt +
+                    "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+                co_await asio::async_write(
+                    socket, asio::buffer(request), as_result);
+                co_await asio::async_read(
+                    socket, asio::dynamic_buffer(received), as_result);
+                done = true;
+            },
+            asio::detached);
+        this->wait_until(
+            [&done]
+            {
+                return done;
+            });
+        std::size_t at = received.find("\r\n\r\n") + 4;
+        std::string text;
+        this->response_incomplete = true;
+        while (at < received.size())
+        {
+            const std::size_t line_end = received.find("\r\n", at);
+            const std::string line = received.substr(at, line_end - at);
+            if (line.find_first_not_of("0123456789abcdefABCDEF") !=
+                std::string::npos)
+            {
+                ADD_FAILURE() << "no chunk: " << received.substr(at, 80);
+                break;
+            }
+            const std::size_t size = std::stoul(line, nullptr, 16);
+            this->response_incomplete = size > 0;
+            text += received.substr(line_end + 2, size);
+            at = line_end + 2 + size + 2;
+        }
+        return text;
+    }
+
+    std::vector<std::unique_ptr<testing_support::scripted_server>> runners;
+};
+
+/// A runner that writes an earlier refusal once more.
+struct repeated_refusal
+{
+    const char* name;
+    bool refuses_first;
+    /// Responses to the first request and to the later ones.
+    std::function<testing_support::scripted_response(const std::string&)> first;
+    std::function<testing_support::scripted_response(const std::string&)> later;
+};
+
+class repeated_refusal_test
+    : public scripted_runner_test,
+      public ::testing::WithParamInterface<repeated_refusal>
+{
+protected:
+    void start_with_faulty_runner()
+    {
+        this->start_with_runners(
+            1,
+            [this](const testing_support::scripted_request& request)
+            {
+                return this->runners[0]->requests.size() == 1
+                           ? this->GetParam().first(request.attempt)
+                           : this->GetParam().later(request.attempt);
+            });
+    }
+};
+
+// Guards against a caller that is told "not run" for a request that a runner
+// runs, and against a second run of it: a faulty runner writes the refusal of
+// an earlier request once more on a kept connection.
+TEST_P(repeated_refusal_test, is_not_the_answer_to_a_later_request)
+{
+    this->start_with_faulty_runner();
+    this->post_request("/ask/1", "t0", "");
+    std::string attempt;
+    int number = 0;
+    // The coordinator avoids the runner for a moment after a refusal.
+    this->wait_until(
+        [&]
+        {
+            attempt = "t" + std::to_string(++number);
+            return this->post_request("/ask/1", attempt, "").status == 200;
+        });
+    const auto& requests = this->runners[0]->requests;
+    ASSERT_EQ(requests.size(), 2U);
+    EXPECT_EQ(requests[1].attempt, attempt);
+    if (this->GetParam().refuses_first)
+    {
+        EXPECT_NE(requests[1].connection, requests[0].connection);
+    }
+}
+
+// The id of the item is the same in its later runs.
+TEST_P(repeated_refusal_test, is_not_the_answer_to_a_later_run_of_an_item)
+{
+    this->start_with_faulty_runner();
+    ASSERT_EQ(this->submit("j1"), 202);
+    this->wait_for_results("j1", 2);
+    this->expect_in_results("j1", "state", "completed");
+    this->expect_in_results("j1", "text", "text 1\ntext 2\ntext 3\ntext 4");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    all,
+    repeated_refusal_test,
+    ::testing::Values(
+        repeated_refusal{
+            "at_once",
+            true,
+            [](const std::string& attempt)
+            {
+                return testing_support::scripted_response{
+                    make_refusal_response(attempt) +
+                    make_refusal_response(attempt)};
+            },
+            [](const std::string& attempt)
+            {
+                return testing_support::scripted_response{
+                    make_stream(attempt, 1)};
+            }},
+        repeated_refusal{
+            "in_an_idle_pause",
+            true,
+            [](const std::string& attempt)
+            {
+                return testing_support::scripted_response{
+                    make_refusal_response(attempt),
+                    make_refusal_response(attempt)};
+            },
+            [](const std::string& attempt)
+            {
+                return testing_support::scripted_response{
+                    make_stream(attempt, 1)};
+            }},
+        repeated_refusal{
+            "after_an_answer",
+            false,
+            [](const std::string& attempt)
+            {
+                return testing_support::scripted_response{
+                    make_stream(attempt, 1), make_refusal_response(attempt)};
+            },
+            [](const std::string& attempt)
+            {
+                return testing_support::scripted_response{
+                    make_stream(attempt, 1)};
+            }},
+        repeated_refusal{
+            "ahead_of_the_next_answer",
+            true,
+            [](const std::string& attempt)
+            {
+                return testing_support::scripted_response{
+                    make_refusal_response(attempt)};
+            },
+            [](const std::string& attempt)
+            {
+                return testing_support::scripted_response{
+                    make_refusal_response("t0") + make_stream(attempt, 1)};
+            }},
+        repeated_refusal{
+            "ahead_of_the_next_answer_on_a_kept_connection",
+            false,
+            [](const std::string& attempt)
+            {
+                return testing_support::scripted_response{
+                    make_stream(attempt, 1)};
+            },
+            [](const std::string& attempt)
+            {
+                return testing_support::scripted_response{
+                    make_refusal_response("t0") + make_stream(attempt, 1)};
+            }}),
+    [](const auto& tested)
+    {
+        return std::string(tested.param.name);
+    });
+
+// Guards against bytes in the middle of an answer that are passed on as if they
+// belonged to it, and against a second run of a request that may run once.
+TEST_F(scripted_runner_test, a_refusal_within_a_stream_breaks_it_off)
+{
+    this->start_with_runners(
+        2,
+        [](const testing_support::scripted_request& request)
+        {
+            return testing_support::scripted_response{
+                make_head("200 OK", request.attempt, stream_headers) +
+                make_chunk(make_events(1, 2)) +
+                make_refusal_response(request.attempt) +
+                make_chunk(make_events(3, 4)) + "0\r\n\r\n"};
+        });
+    EXPECT_EQ(this->read_stream("/ask/1", "t1"), make_events(1, 2));
+    EXPECT_TRUE(this->response_incomplete);
+    EXPECT_EQ(
+        this->runners[0]->requests.size() + this->runners[1]->requests.size(),
+        1U);
+}
+
 TEST_F(node_process_test, an_endless_store_response_is_abandoned)
 {
     testing_support::endless_server endless(this->io);
