Streams: Continue a stream only with the events that follow

Callers saw, as other operators reported: a stream had begun and broke off, the next runner answered with an error, and its head and text stood where the next chunk was due. Also seen in tests of the code as it was: events twice or missing after a runner that began anew or skipped some, and a stream of two of four events that ended as if it were complete, after a runner that ended at once. An item was completed with half of its text in the same way.

Cause: forward_response chose by the content type alone, nothing compared the first event of a run with the last one of the run before, and the end of any run counted as the end of the stream.

Change: a begun stream is continued only by an event stream with status 200 whose first event follows the last one, and which has an event. Anything else is a failed run: another runner is asked while the route allows it, and then the connection is closed before the end of the stream. A run without events does not complete an item's text; the item starts again.

Why it works: after the head, only whole events in their order are written to the caller, and the end only after a run that returned the events before it. It costs a clean end for streams that break off after their last event.

--- a/policy/serving/event_splitter.cpp
+++ b/policy/serving/event_splitter.cpp
@@ -1,6 +1,9 @@
 #include "policy/serving/event_splitter.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <utility>
 
 namespace chicory::serving
 {
@@ -23,8 +26,35 @@
     return value;
 }
 
+std::optional<std::int64_t> read_number(const std::string& text)
+{
+    std::int64_t number = 0;
+    const char* const end = text.data() + text.size();
+    const auto [rest, code] = std::from_chars(text.data(), end, number);
+    if (code != std::errc() || rest != end)
+    {
+        return std::nullopt;
+    }
+    return number;
+}
+
 } // namespace
 
+bool may_follow(const std::string& previous_id, const std::string& next_id)
+{
+    const std::optional<std::int64_t> next = read_number(next_id);
+    if (!next)
+    {
+        return false;
+    }
+    const std::optional<std::int64_t> previous = read_number(previous_id);
+    // Unsigned, because the difference of two ids may exceed the signed range.
+    return !previous || (*next > *previous &&
+                         static_cast<std::uint64_t>(*next) -
+                                 static_cast<std::uint64_t>(*previous) ==
+                             1);
+}
+
 std::vector<stream_event> read_events(std::string_view whole)
 {
     std::vector<stream_event> events;
@@ -86,11 +116,24 @@
     return whole;
 }
 
-std::string event_splitter::cut_and_track_id(std::string_view bytes)
+void event_splitter::begin_run()
+{
+    this->drop_unfinished();
+    this->is_run_start = true;
+}
+
+std::optional<std::string>
+event_splitter::cut_and_track_id(std::string_view bytes)
 {
     std::string whole = this->cut(bytes);
     for (const stream_event& event : read_events(whole))
     {
+        const bool continues = std::exchange(this->is_run_start, false) &&
+                               !this->tracked_id.empty();
+        if (continues && !may_follow(this->tracked_id, event.id))
+        {
+            return std::nullopt;
+        }
         if (!event.id.empty())
         {
             this->tracked_id = event.id;
@@ -104,6 +147,11 @@
     return this->tracked_id;
 }
 
+bool event_splitter::run_has_event() const
+{
+    return !this->is_run_start;
+}
+
 std::size_t event_splitter::unfinished_bytes() const
 {
     return this->buffer.size();
--- a/policy/serving/item_progress.cpp
+++ b/policy/serving/item_progress.cpp
@@ -1,44 +1,14 @@
 #include "policy/serving/item_progress.hpp"
 
-#include <charconv>
 #include <utility>
 
 namespace chicory::serving
 {
 
-namespace
-{
-
-std::optional<std::int64_t> read_number(const std::string& text)
-{
-    std::int64_t number = 0;
-    const char* const end = text.data() + text.size();
-    const auto [rest, code] = std::from_chars(text.data(), end, number);
-    if (code != std::errc() || rest != end)
-    {
-        return std::nullopt;
-    }
-    return number;
-}
-
-/// Returns whether an event may follow another one. Event ids are consecutive
-/// numbers; the first event of a text may have any number.
-bool follows(const std::string& previous, const std::string& next)
-{
-    const std::optional<std::int64_t> number = read_number(next);
-    if (!number)
-    {
-        return false;
-    }
-    const std::optional<std::int64_t> before = read_number(previous);
-    return !before || *number == *before + 1;
-}
-
-} // namespace
-
 void item_progress::begin_run()
 {
     this->splitter.drop_unfinished();
+    this->run_start = this->count;
 }
 
 void item_progress::restore(const std::vector<item_piece>& pieces)
@@ -113,7 +83,7 @@
 {
     for (const stream_event& event : read_events(this->splitter.cut(bytes)))
     {
-        if (!follows(this->last_id, event.id))
+        if (!may_follow(this->last_id, event.id))
         {
             this->splitter.drop_unfinished();
             return false;
@@ -128,7 +98,8 @@
 
 bool item_progress::is_whole() const
 {
-    return this->splitter.unfinished_bytes() == 0 && this->count > 0;
+    return this->splitter.unfinished_bytes() == 0 &&
+           this->count > this->run_start;
 }
 
 std::size_t item_progress::unfinished_bytes() const
--- a/policy/serving/item_progress.hpp
+++ b/policy/serving/item_progress.hpp
@@ -53,8 +53,8 @@
     /// must end.
     bool append(std::string_view bytes);
 
-    /// Returns whether the run may end here: there are events, and none is
-    /// incomplete.
+    /// Returns whether the text is whole if the run ends here: the run returned
+    /// events, and none is incomplete.
     bool is_whole() const;
 
     /// Returns the number of bytes of an incomplete event.
@@ -74,6 +74,8 @@
     std::string joined;
     std::string last_id;
     std::int64_t count = 0;
+    /// Number of events before the current run.
+    std::int64_t run_start = 0;
     std::vector<std::int64_t> saved;
     std::int64_t saved_events = 0;
     std::size_t saved_bytes = 0;
--- a/servers/node/item_execution.cpp
+++ b/servers/node/item_execution.cpp
@@ -390,6 +390,14 @@
         this->services.slots.release(slot.id, serving::slot_outcome::completed);
         co_return step::completed;
     }
+    if (failure.empty() && this->text.unfinished_bytes() == 0)
+    {
+        // The run added nothing to the text and does not show that the text is
+        // whole; a run from the beginning does.
+        failure = "expected an event after event \"" +
+                  this->text.last_event_id() + "\", found the end";
+        this->text.restart();
+    }
     this->stream->close();
     this->stream.reset();
     const bool ended_locally = this->stopped || this->preempted;
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -12,6 +12,7 @@
 namespace
 {
 
+constexpr int status_ok = 200;
 constexpr int status_first_redirection = 300;
 constexpr int status_not_found = 404;
 constexpr int status_failed = 500;
@@ -337,13 +338,58 @@
 asio::awaitable<online_call::step>
 online_call::forward_response(const slot_result& slot)
 {
-    if (platform::is_event_stream(this->stream->head()))
+    const int status = this->stream->head().status;
+    const bool is_stream = platform::is_event_stream(this->stream->head());
+    if (this->head_sent && !(is_stream && status == status_ok))
+    {
+        // The caller is in the middle of a stream, so that no other response
+        // can be forwarded.
+        std::string failure =
+            "expected a stream that continues, found status " +
+            std::to_string(status) + (is_stream ? "" : " and no stream");
+        co_return co_await this->end_broken_run(
+            slot,
+            status >= status_failed ? serving::slot_outcome::failed
+                                    : serving::slot_outcome::rejected,
+            std::move(failure));
+    }
+    if (is_stream)
     {
         co_return co_await this->forward_events(slot);
     }
     co_return co_await this->forward_whole_response(slot);
 }
 
+bool online_call::may_resume() const
+{
+    // Without an id of the last event, a run would begin anew.
+    const bool is_resumable =
+        !this->has_forwarded_event || !this->events.last_id().empty();
+    return is_resumable && this->route->resumable && this->may_run_again() &&
+           this->runs < this->route->max_attempts;
+}
+
+asio::awaitable<online_call::step> online_call::end_broken_run(
+    const slot_result& slot, serving::slot_outcome outcome, std::string failure)
+{
+    this->stream->close();
+    this->stream.reset();
+    this->release(slot, outcome);
+    this->failed_runners.push_back(slot.runner);
+    this->log_failed_attempt(slot.runner, outcome, failure);
+    if (this->is_aborted())
+    {
+        co_return step::retry;
+    }
+    if (this->may_resume())
+    {
+        this->services.counters.count_retry(reason::stream_broken);
+        co_return step::retry;
+    }
+    co_await this->fail(status_bad_gateway, reason::stream_broken);
+    co_return step::done;
+}
+
 void online_call::record_first_piece()
 {
     this->services.counters.observe(
@@ -373,11 +419,14 @@
                 std::to_string(this->events.unfinished_bytes()) +
                 " bytes of it");
     }
-    if (this->streamed_bytes == 0 && this->parameters.last_event_id.empty())
+    const bool needs_event =
+        this->has_forwarded_event || this->parameters.last_event_id.empty();
+    if (needs_event && !this->events.run_has_event())
     {
         return make_error(
             error_kind::unavailable,
-            "stream: expected an event, found the end");
+            "stream: expected an event after \"" + this->events.last_id() +
+                "\", found the end");
     }
     return boost::outcome_v2::success();
 }
@@ -399,7 +448,15 @@
                 std::to_string(this->streamed_bytes));
     }
     this->streamed_bytes += piece.size();
-    return this->events.cut_and_track_id(piece);
+    std::optional<std::string> complete = this->events.cut_and_track_id(piece);
+    if (!complete)
+    {
+        return make_error(
+            error_kind::malformed,
+            "stream: expected the event after \"" + this->events.last_id() +
+                "\", found another one");
+    }
+    return std::move(*complete);
 }
 
 asio::awaitable<online_call::step>
@@ -419,15 +476,14 @@
         this->record_first_piece();
     }
     bool has_event = false;
+    this->events.begin_run();
     while (!this->is_aborted())
     {
-        const bool may_resume = this->route->resumable &&
-                                this->may_run_again() &&
-                                this->runs < this->route->max_attempts;
         const duration left = this->deadline - read_monotonic_clock();
         const result<std::string> piece = co_await this->stream->read_some(
-            may_resume ? std::min<duration>(left, resumable_silence_limit)
-                       : left);
+            this->may_resume()
+                ? std::min<duration>(left, resumable_silence_limit)
+                : left);
         if (this->is_aborted())
         {
             break;
@@ -449,25 +505,15 @@
         {
             const serving::slot_outcome outcome = this->classify_failure(
                 slot, complete_events.error(), has_event);
-            this->stream->close();
-            this->stream.reset();
-            this->release(slot, outcome);
-            this->events.drop_unfinished();
-            this->failed_runners.push_back(slot.runner);
-            this->log_failed_attempt(
-                slot.runner, outcome, complete_events.error().text);
-            if (may_resume)
-            {
-                this->services.counters.count_retry(reason::stream_broken);
-                co_return step::retry;
-            }
-            co_await this->fail(status_bad_gateway, reason::stream_broken);
-            co_return step::done;
+            std::string failure = complete_events.error().text;
+            co_return co_await this->end_broken_run(
+                slot, outcome, std::move(failure));
         }
         this->services.slots.note_progress(slot.id);
         if (!complete_events.value().empty() && !std::exchange(has_event, true))
         {
             this->services.slots.note_first_event(slot.id);
+            this->has_forwarded_event = true;
         }
         if (!complete_events.value().empty() &&
             !co_await this->exchange.write_chunk(complete_events.value()))
--- a/servers/node/online_call.hpp
+++ b/servers/node/online_call.hpp
@@ -67,14 +67,26 @@
     serving::slot_outcome classify_failure(
         const slot_result& slot, const error& failure, bool has_event) const;
     /// Checks that a stream may end here. Error: unavailable inside an event,
-    /// or before the first event of the caller's stream.
+    /// before the first event of the caller's stream, or before the first event
+    /// of a run that continues it: such a run does not show that the stream is
+    /// complete.
     result<void> check_end() const;
     /// Adds a piece of a stream and returns the events that it completes.
     /// Error: malformed when an event or the stream is longer than its limit in
-    /// bytes.
+    /// bytes, or when the first event of a run does not follow the last one of
+    /// the runs before.
     result<std::string> split_events(const std::string& piece);
     boost::asio::awaitable<step>
     forward_whole_response(const slot_result& slot);
+    /// Returns whether a stream that the caller has begun to receive may
+    /// continue at another runner.
+    bool may_resume() const;
+    /// Ends a run whose stream broke off or cannot be a part of the caller's
+    /// stream, and continues at another runner if possible.
+    boost::asio::awaitable<step> end_broken_run(
+        const slot_result& slot,
+        serving::slot_outcome outcome,
+        std::string failure);
     boost::asio::awaitable<void> refuse(duration retry_after, reason why);
     boost::asio::awaitable<void> fail(int status, reason why);
     boost::asio::awaitable<void> finish_aborted();
@@ -102,6 +114,8 @@
     std::unique_ptr<net::http_stream> stream;
     serving::event_splitter events;
     std::size_t streamed_bytes = 0;
+    /// True after an event was forwarded to the caller.
+    bool has_forwarded_event = false;
     std::vector<std::string> failed_runners;
     std::uint64_t digest = 0;
     /// Digests of the parts of the prompt that other requests may share.
--- a/tests/policy/serving/serving_test.cpp
+++ b/tests/policy/serving/serving_test.cpp
@@ -80,10 +80,46 @@
     EXPECT_EQ(splitter.cut_and_track_id(std::string(100000, 'x')), "");
     EXPECT_EQ(splitter.unfinished_bytes(), 100007U);
     EXPECT_EQ(splitter.cut_and_track_id("\n"), "");
-    EXPECT_EQ(splitter.cut_and_track_id("\nid: 2\n").size(), 100009U);
+    EXPECT_EQ(splitter.cut_and_track_id("\nid: 2\n")->size(), 100009U);
     EXPECT_EQ(splitter.unfinished_bytes(), 6U);
 }
 
+// Guards against a stream with events twice or without some of them: a runner
+// that is asked to continue it begins anew or skips events.
+TEST(event_splitter_test, a_continued_run_starts_with_the_next_event)
+{
+    for (const char* odd :
+         {"id: 1\ndata: a\n\n",
+          "id: 4\ndata: d\n\n",
+          "data: c\n\n",
+          "id: x\ndata: c\n\n"})
+    {
+        event_splitter splitter;
+        splitter.begin_run();
+        EXPECT_TRUE(splitter.cut_and_track_id("id: 2\ndata: b\n\nid: 3"));
+        splitter.begin_run();
+        EXPECT_EQ(splitter.cut_and_track_id(odd), std::nullopt) << odd;
+        EXPECT_EQ(splitter.last_id(), "2");
+        splitter.begin_run();
+        EXPECT_TRUE(splitter.cut_and_track_id("id: 3\ndata: c\n\n")) << odd;
+    }
+    EXPECT_FALSE(may_follow("9223372036854775807", "-9223372036854775808"));
+}
+
+// Guards against a result that lacks the end of its text: a run that is asked
+// to continue it ends at once.
+TEST(item_progress_test, a_run_without_events_does_not_complete_a_text)
+{
+    item_progress progress;
+    progress.begin_run();
+    ASSERT_TRUE(progress.append("id: 1\ndata: a\n\n"));
+    EXPECT_TRUE(progress.is_whole());
+    progress.begin_run();
+    EXPECT_FALSE(progress.is_whole());
+    ASSERT_TRUE(progress.append("id: 2\ndata: b\n\n"));
+    EXPECT_TRUE(progress.is_whole());
+}
+
 TEST(item_progress_test, restart_clears_the_text)
 {
     item_progress progress;
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -820,6 +820,141 @@
     std::vector<std::unique_ptr<testing_support::scripted_server>> runners;
 };
 
+/// Response of a runner that is asked to continue a stream.
+struct continuation
+{
+    const char* name;
+    std::string bytes;
+    bool closes = false;
+};
+
+class continued_stream_test : public scripted_runner_test,
+                              public ::testing::WithParamInterface<continuation>
+{
+protected:
+    /// Starts three runners. For each request, the first run breaks off after
+    /// two events, the next `odd_runs` respond with the parameter, and later
+    /// ones continue the stream properly.
+    void start_with_odd_runs(int odd_runs)
+    {
+        this->start_with_runners(
+            3,
+            [this, odd_runs](const testing_support::scripted_request& request)
+            {
+                const std::string& attempt = request.attempt;
+                const int run = this->runs[attempt]++;
+                if (run == 0)
+                {
+                    return testing_support::scripted_response{
+                        make_head("200 OK", attempt, stream_headers) +
+                            make_chunk(make_events(1, 2)),
+                        "",
+                        true};
+                }
+                if (run <= odd_runs)
+                {
+                    std::string bytes = this->GetParam().bytes;
+                    const std::string id = "{id}";
+                    if (const std::size_t at = bytes.find(id);
+                        at != std::string::npos)
+                    {
+                        bytes.replace(at, id.size(), attempt);
+                    }
+                    return testing_support::scripted_response{
+                        bytes, "", this->GetParam().closes};
+                }
+                return testing_support::scripted_response{make_stream(
+                    attempt,
+                    request.after.empty() ? 1 : std::stoll(request.after) + 1)};
+            });
+    }
+
+    std::map<std::string, int> runs;
+};
+
+// Guards against an error's text or head in the middle of a caller's stream,
+// and against a stream that ends as if it were complete: a stream has begun and
+// breaks off, and the next runner does not continue it.
+TEST_P(continued_stream_test, goes_on_at_a_runner_that_continues_it)
+{
+    this->start_with_odd_runs(1);
+    EXPECT_EQ(this->read_stream("/go-on/1", "t1"), make_events(1, 4));
+    EXPECT_FALSE(this->response_incomplete);
+}
+
+TEST_P(continued_stream_test, is_broken_off_when_no_runner_continues_it)
+{
+    this->start_with_odd_runs(100);
+    EXPECT_EQ(this->read_stream("/go-on/1", "t1"), make_events(1, 2));
+    EXPECT_TRUE(this->response_incomplete);
+}
+
+// Guards against an error's text in a result, and against a result without the
+// events that a runner did not send.
+TEST_P(continued_stream_test, an_item_has_its_whole_text)
+{
+    this->start_with_odd_runs(1);
+    ASSERT_EQ(this->submit("j1"), 202);
+    this->wait_for_results("j1", 2);
+    this->expect_in_results("j1", "state", "completed");
+    this->expect_in_results("j1", "text", "text 1\ntext 2\ntext 3\ntext 4");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    all,
+    continued_stream_test,
+    ::testing::Values(
+        continuation{
+            "error_500",
+            make_head("500 Oops", "{id}", "Content-Length: 4\r\n") + "oops"},
+        continuation{
+            "error_404",
+            make_head("404 Not Found", "{id}", "Content-Length: 4\r\n") +
+                "none"},
+        continuation{
+            "error_429",
+            make_head("429 Too Many", "{id}", "Content-Length: 4\r\n") +
+                "many"},
+        continuation{
+            "not_run",
+            make_head(
+                "503 Full",
+                "{id}",
+                "X-Not-Executed: 1\r\nContent-Length: 4\r\n") +
+                "full"},
+        continuation{
+            "no_stream",
+            make_head(
+                "200 OK",
+                "{id}",
+                "Content-Type: text/plain\r\nContent-Length: 4\r\n") +
+                "text"},
+        continuation{
+            "error_as_stream",
+            make_head("500 Oops", "{id}", stream_headers) +
+                make_chunk(make_events(3, 4)) + "0\r\n\r\n"},
+        continuation{
+            "error_without_length",
+            make_head("500 Oops", "{id}", "") + "oops",
+            true},
+        continuation{
+            "error_cut_in_its_body",
+            make_head("500 Oops", "{id}", "Content-Length: 9\r\n") + "oops",
+            true},
+        continuation{"stream_from_the_start", make_stream("{id}", 1)},
+        continuation{"stream_that_skips_an_event", make_stream("{id}", 4)},
+        continuation{
+            "stream_that_ends_at_once",
+            make_head("200 OK", "{id}", stream_headers) + "0\r\n\r\n"},
+        continuation{
+            "stream_without_ids",
+            make_head("200 OK", "{id}", stream_headers) +
+                make_chunk("data: text 3\n\n") + "0\r\n\r\n"}),
+    [](const auto& tested)
+    {
+        return std::string(tested.param.name);
+    });
+
 /// A runner that writes an earlier refusal once more.
 struct repeated_refusal
 {
