Jobs: Forget finished jobs after the time of their results

Cause: nothing forgot a finished job. A process collected the records of all jobs before it decoded them, and kept each decoded record for good, about 1.2 KB a job.

Change: a finished job that is older than the time for which its results are read, 120 s, stays in the store only. Reads, repeated submissions and cancellations find the record in the store. A commit no longer relies on the view's entry of its job.

Why it works: what a process remembers is bounded by the open jobs and those of the last 120 s, whatever the store holds.

--- a/policy/serving/job_record.cpp
+++ b/policy/serving/job_record.cpp
@@ -156,6 +156,14 @@
         std::max<std::int64_t>(0, *store_now_ms - job.accepted_ms));
 }
 
+bool may_forget(
+    const job_record& job,
+    std::optional<std::int64_t> store_now_ms,
+    duration lifetime)
+{
+    return !is_open(job) && job_age(job, store_now_ms) > lifetime;
+}
+
 bool is_open(const job_record& job)
 {
     return !job.ended && job.listed.size() < job.tokens.size();
--- a/policy/serving/job_record.hpp
+++ b/policy/serving/job_record.hpp
@@ -90,6 +90,14 @@
 duration
 job_age(const job_record& job, std::optional<std::int64_t> store_now_ms);
 
+/// Returns whether nodes need not remember a job, because it is finished and
+/// older than `lifetime`, the time for which its results are read. Designed for
+/// months of jobs whose records stay in the store.
+bool may_forget(
+    const job_record& job,
+    std::optional<std::int64_t> store_now_ms,
+    duration lifetime);
+
 /// Returns whether the job has items left to run.
 bool is_open(const job_record& job);
 
--- a/servers/node/job_runner_commits.cpp
+++ b/servers/node/job_runner_commits.cpp
@@ -281,7 +281,8 @@
         }
     }
     job->committing = false;
-    if (!serving::is_open(*this->store.find(job->id)))
+    const serving::job_record* record = this->store.find(job->id);
+    if (record == nullptr || !serving::is_open(*record))
     {
         log_event(event::job_completed, {{"job", job->id}});
     }
--- a/servers/node/job_store.cpp
+++ b/servers/node/job_store.cpp
@@ -34,6 +34,9 @@
 /// a caller.
 constexpr std::chrono::milliseconds awaited_coalesce_delay(150);
 constexpr std::chrono::milliseconds idle_coalesce_delay(600);
+/// Time between two removals of old jobs from the view, which looks at each
+/// job.
+constexpr std::chrono::seconds forget_interval(1);
 /// Maximum size of the texts that a node caches for reads.
 constexpr std::size_t max_cached_bytes = 32 << 20;
 
@@ -49,9 +52,11 @@
     ports::record_store& record_store,
     ports::object_store& object_store,
     std::int64_t record_bytes,
+    duration initial_result_lifetime,
     std::uint64_t seed)
     : context(io), records(record_store), objects(object_store),
       value_bytes(static_cast<std::size_t>(record_bytes)),
+      result_lifetime(initial_result_lifetime),
       view(
           [this](const std::string& id)
           {
@@ -69,9 +74,16 @@
            [this](const ports::record& changed)
            {
                this->view.apply(changed);
+               this->forget_old_jobs(read_monotonic_clock());
                this->notify_change();
            },
-           [](bool) {}},
+           [](bool) {},
+           [this](const ports::record& found)
+           {
+               const result<serving::job_record> job =
+                   serving::decode_job(found.key, found.value, found.version);
+               return !job || !this->may_forget(job.value());
+           }},
           seed,
           {awaited_coalesce_delay, idle_coalesce_delay}),
       texts(
@@ -107,6 +119,26 @@
     }
 }
 
+bool job_store::may_forget(const serving::job_record& job) const
+{
+    return serving::may_forget(
+        job, this->records.clock_ms(), this->result_lifetime);
+}
+
+void job_store::forget_old_jobs(time_point now)
+{
+    if (now < this->next_forget)
+    {
+        return;
+    }
+    this->next_forget = now + duration(forget_interval);
+    this->view.forget(
+        [this](const serving::job_record& job)
+        {
+            return this->may_forget(job);
+        });
+}
+
 void job_store::notify_change()
 {
     if (this->on_change)
@@ -393,29 +425,42 @@
     co_return *known;
 }
 
+asio::awaitable<result<known_job>> job_store::find_or_look_up(std::string id)
+{
+    if (const known_job* known = this->view.find(id))
+    {
+        co_return *known;
+    }
+    const result<serving::job_record> read = co_await this->look_up(id);
+    if (!read)
+    {
+        co_return read.error();
+    }
+    const known_job* known = this->view.find(id);
+    if (known == nullptr)
+    {
+        co_return make_error(
+            error_kind::unavailable,
+            "job " + id + ": expected its record, found it removed");
+    }
+    co_return *known;
+}
+
 asio::awaitable<result<serving::job_record>>
 job_store::change(std::string id, change_function make_change, duration limit)
 {
     const time_point until = read_monotonic_clock() + limit;
     asio::steady_timer timer(this->context);
-    if (this->find(id) == nullptr)
-    {
-        const result<serving::job_record> found = co_await this->look_up(id);
-        if (!found)
-        {
-            co_return found.error();
-        }
-    }
     bool may_be_committed = false;
     while (true)
     {
-        const known_job* known = this->view.find(id);
-        if (known == nullptr)
+        const result<known_job> known = co_await this->find_or_look_up(id);
+        if (!known)
         {
-            co_return make_missing_error(id);
+            co_return known.error();
         }
-        const serving::job_record before = known->record;
-        const std::string partition = known->partition;
+        const serving::job_record before = known.value().record;
+        const std::string partition = known.value().partition;
         std::optional<job_change> next = make_change(before);
         if (!next)
         {
@@ -596,13 +641,13 @@
 asio::awaitable<result<std::vector<std::string>>>
 job_store::read_texts(std::string id, std::int64_t from, std::size_t byte_limit)
 {
-    const known_job* known = this->view.find(id);
-    if (known == nullptr)
+    const result<known_job> known = co_await this->find_or_look_up(id);
+    if (!known)
     {
-        co_return make_missing_error(id);
+        co_return known.error();
     }
-    const serving::job_record job = known->record;
-    const std::string partition = known->partition;
+    const serving::job_record job = known.value().record;
+    const std::string partition = known.value().partition;
     std::vector<std::string> found;
     std::size_t bytes = 0;
     // Texts of the last read, from this position on.
@@ -659,18 +704,18 @@
 
 asio::awaitable<result<std::string>> job_store::read_body(std::string id)
 {
-    const known_job* known = this->view.find(id);
-    if (known == nullptr)
+    const result<known_job> known = co_await this->find_or_look_up(id);
+    if (!known)
     {
-        co_return make_missing_error(id);
+        co_return known.error();
     }
-    const std::int64_t parts = known->record.body_records;
+    const std::int64_t parts = known.value().record.body_records;
     if (parts == 0)
     {
         co_return co_await this->objects.get(make_object_name(id));
     }
     ports::record_range range =
-        make_part_range(body_table, known->partition, id, 0);
+        make_part_range(body_table, known.value().partition, id, 0);
     const result<ports::record_page> page =
         co_await this->records.read(std::move(range));
     if (!page)
--- a/servers/node/job_store.hpp
+++ b/servers/node/job_store.hpp
@@ -57,12 +57,14 @@
         std::function<std::optional<job_change>(const serving::job_record&)>;
 
     /// The stores must outlive this object. `record_bytes` is the maximum size
-    /// of a record's value in bytes.
+    /// of a record's value in bytes. A finished job that is older than
+    /// `initial_result_lifetime` stays in the store only.
     job_store(
         boost::asio::io_context& io,
         ports::record_store& record_store,
         ports::object_store& object_store,
         std::int64_t record_bytes,
+        duration initial_result_lifetime,
         std::uint64_t seed);
 
     void start();
@@ -144,6 +146,12 @@
 private:
     void notify(const std::string& id);
     void notify_change();
+    bool may_forget(const serving::job_record& job) const;
+    /// Removes old finished jobs from the view, once in a while.
+    void forget_old_jobs(time_point now);
+    /// Returns a job of the view, or reads it from the store. Errors: not_found
+    /// when the job certainly does not exist; unavailable, timeout.
+    boost::asio::awaitable<result<known_job>> find_or_look_up(std::string id);
     /// Waits until the store's clock is known. Error: unavailable when it is
     /// still unknown at `until`.
     boost::asio::awaitable<result<std::int64_t>>
@@ -168,6 +176,8 @@
     ports::record_store& records;
     ports::object_store& objects;
     std::size_t value_bytes;
+    duration result_lifetime;
+    time_point next_forget;
     job_view view;
     table_watch watch;
     std::function<void()> on_change;
--- a/servers/node/job_view.cpp
+++ b/servers/node/job_view.cpp
@@ -72,6 +72,17 @@
         });
 }
 
+void job_view::forget(
+    const std::function<bool(const serving::job_record&)>& may_forget)
+{
+    std::erase_if(
+        this->jobs,
+        [&](const auto& item)
+        {
+            return may_forget(item.second.record);
+        });
+}
+
 const known_job* job_view::find(const std::string& id) const
 {
     const auto found = this->jobs.find(id);
--- a/servers/node/job_view.hpp
+++ b/servers/node/job_view.hpp
@@ -40,6 +40,10 @@
 
     void adopt(const std::string& partition, serving::job_record record);
 
+    /// Removes the jobs for which `may_forget` returns true.
+    void
+    forget(const std::function<bool(const serving::job_record&)>& may_forget);
+
     /// Returns the job, or null.
     const known_job* find(const std::string& id) const;
 
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -156,6 +156,7 @@
           this->store,
           this->store,
           this->settings.record_bytes,
+          this->settings.result_lifetime,
           this->incarnation + 2),
       job_work(
           io,
--- a/servers/node/table_watch.cpp
+++ b/servers/node/table_watch.cpp
@@ -178,15 +178,23 @@
             {
                 first_version = page.value().version;
             }
+            if (page.value().has_more && !page.value().records.empty())
+            {
+                range.from = page.value().records.back().key + '\0';
+            }
+            const bool is_last =
+                !page.value().has_more || page.value().records.empty();
             for (ports::record& found : page.value().records)
             {
-                records.push_back(std::move(found));
+                if (!this->hooks.is_needed || this->hooks.is_needed(found))
+                {
+                    records.push_back(std::move(found));
+                }
             }
-            if (!page.value().has_more || records.empty())
+            if (is_last)
             {
                 break;
             }
-            range.from = records.back().key + '\0';
         }
     }
     if (first_version == 0)
--- a/servers/node/table_watch.hpp
+++ b/servers/node/table_watch.hpp
@@ -27,6 +27,10 @@
     std::function<void(const ports::record&)> on_change;
     /// Called when the store becomes reachable (true) or unreachable (false).
     std::function<void(bool)> on_reachability_changed;
+    /// Returns whether a record of a snapshot is needed. The others are dropped
+    /// page by page, so that a snapshot takes no more memory than what is
+    /// needed of it. An empty function means that all are needed.
+    std::function<bool(const ports::record&)> is_needed = {};
 };
 
 /// Delays before the next call for changes, so that one call returns many of
--- a/tests/policy/serving/serving_test.cpp
+++ b/tests/policy/serving/serving_test.cpp
@@ -230,6 +230,19 @@
     EXPECT_EQ(job_age(job, 1791261950013), duration::zero());
 }
 
+// Guards against the removal of a job that is still read or still runs.
+TEST(job_record_test, only_old_finished_jobs_may_be_forgotten)
+{
+    job_record job = make_job();
+    const std::int64_t now_ms = job.accepted_ms + 121000;
+    const duration lifetime = std::chrono::seconds(120);
+    EXPECT_FALSE(may_forget(job, now_ms, lifetime));
+    job.ended = true;
+    EXPECT_TRUE(may_forget(job, now_ms, lifetime));
+    EXPECT_FALSE(may_forget(job, now_ms - 1000, lifetime));
+    EXPECT_FALSE(may_forget(job, std::nullopt, lifetime));
+}
+
 TEST(job_record_test, rejects_items_listed_twice_and_invalid_text)
 {
     job_record job = make_job();
--- a/tests/servers/node/job_store_test.cpp
+++ b/tests/servers/node/job_store_test.cpp
@@ -2,9 +2,14 @@
 #include "tests/support/memory_platform.hpp"
 #include "tests/support/memory_records.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <gtest/gtest.h>
 
+#include <chrono>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace chicory::node
 {
@@ -15,12 +20,19 @@
 /// Clock of a store that runs for hours, longer than jobs are retained.
 constexpr std::int64_t store_now_ms = 40'000'000;
 constexpr std::int64_t record_bytes = 65536;
+constexpr std::chrono::seconds result_lifetime(120);
 
 class job_store_test : public ::testing::Test
 {
 protected:
     job_store_test()
-        : store(this->io, this->records, this->objects, record_bytes, 1)
+        : store(
+              this->io,
+              this->records,
+              this->objects,
+              record_bytes,
+              result_lifetime,
+              1)
     {
         this->records.now_ms = store_now_ms;
     }
@@ -94,6 +106,57 @@
     EXPECT_EQ(changed.value().accepted_ms, store_now_ms);
 }
 
+// Guards against a process that exceeds its memory because it remembers all
+// jobs that ever were: after days of work, each start reads their records.
+TEST_F(job_store_test, old_finished_jobs_stay_in_the_store_only)
+{
+    const std::string partition = make_partition("letters");
+    const auto add = [&](const std::string& id, std::int64_t age_s, bool open)
+    {
+        serving::job_record job;
+        job.route = "letters";
+        job.tokens = {100};
+        job.accepted_ms = store_now_ms - age_s * 1000;
+        if (!open)
+        {
+            job.listed.push_back({0, serving::item_state::errored, 0});
+        }
+        this->records.rows[{std::string(job_table), partition, id}] = {
+            std::string(job_table),
+            partition,
+            id,
+            serving::encode_job(job),
+            1,
+            false};
+    };
+    for (int number = 0; number < 1000; ++number)
+    {
+        add("old-" + std::to_string(number), 121 + number, false);
+    }
+    add("recent", 119, false);
+    add("open", 1000, true);
+    this->store.start();
+    while (this->store.find("open") == nullptr)
+    {
+        this->io.run_one();
+    }
+    EXPECT_EQ(this->store.all().size(), 2U);
+    EXPECT_NE(this->store.find("recent"), nullptr);
+    // The results of an old job are read from the store.
+    std::optional<result<std::vector<std::string>>> texts;
+    boost::asio::co_spawn(
+        this->io,
+        testing_support::store_value(
+            this->store.read_texts("old-7", 0, 1000), texts),
+        boost::asio::detached);
+    while (!texts)
+    {
+        this->io.run_one();
+    }
+    ASSERT_TRUE(texts->has_value());
+    EXPECT_EQ(texts->value(), std::vector<std::string>{""});
+}
+
 // Guards against results that cannot be read: a burst of jobs fills the cache
 // of texts, which drops the texts of earlier jobs as soon as they are read from
 // the store.
--- a/tests/support/memory_records.hpp
+++ b/tests/support/memory_records.hpp
@@ -16,7 +16,8 @@
 namespace chicory::testing_support
 {
 
-/// Record store in memory. It has no feed of changes.
+/// Record store in memory. It has no feed of changes, so that a watch only
+/// reads its snapshot.
 class memory_records final : public ports::record_store
 {
 public:
@@ -53,9 +54,18 @@
     }
 
     boost::asio::awaitable<result<std::vector<std::string>>>
-    list_partitions(std::string) override
+    list_partitions(std::string table) override
     {
-        co_return make_error(error_kind::unavailable, "not supported");
+        std::vector<std::string> partitions;
+        for (const auto& [name, row] : this->rows)
+        {
+            if (std::get<0>(name) == table &&
+                (partitions.empty() || partitions.back() != std::get<1>(name)))
+            {
+                partitions.push_back(std::get<1>(name));
+            }
+        }
+        co_return partitions;
     }
 
     boost::asio::awaitable<result<ports::record_page>>
