--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -271,6 +271,44 @@
             .status;
     }
 
+    /// Starts with two batch routes: one to the service of `first`, which is
+    /// not registered here, and one to the service of `second`.
+    void start_with_two_batch_services()
+    {
+        std::string configuration = make_configuration(1);
+        const std::string field = R"("routes":[)";
+        configuration.insert(
+            configuration.find(field) + field.size(),
+            R"({"name":"others","host":"a.example","prefix":"/others/",
+            "route_kind":"batch","timeout_ms":5000,"target_latency_ms":1000,
+            "service":"other","max_attempts":3,"retention_s":60,
+            "completion_target_ms":18000},)");
+        this->store.put("op", "", "config", configuration);
+        this->second.service = "other";
+        this->register_runner(this->second, "ready");
+        this->start();
+        this->wait_until(
+            [this]
+            {
+                return this->get(this->settings.readiness, "/-/readyz")
+                           .status == 200;
+            });
+    }
+
+    /// Submits more jobs to the service of `first` than may wait at a time, and
+    /// then one to the other service, which must complete.
+    void expect_jobs_of_the_other_service_complete()
+    {
+        for (int number = 0; number < 10; ++number)
+        {
+            ASSERT_EQ(this->submit("lost-" + std::to_string(number)), 202);
+        }
+        this->io.run_for(300ms);
+        ASSERT_EQ(this->submit("sound", 100, "/others/x"), 202);
+        this->wait_for_results("sound", 2);
+        this->expect_in_results("sound", "state", "completed");
+    }
+
     boost::json::object read_results(const std::string& id)
     {
         const net::http_response response =
@@ -1339,33 +1377,24 @@
 // more of its items wait for slots than a node lets wait at a time.
 TEST_F(node_process_test, a_lost_service_does_not_stop_jobs_of_another)
 {
-    std::string configuration = make_configuration(1);
-    const std::string field = R"("routes":[)";
-    configuration.insert(
-        configuration.find(field) + field.size(),
-        R"({"name":"others","host":"a.example","prefix":"/others/",
-        "route_kind":"batch","timeout_ms":5000,"target_latency_ms":1000,
-        "service":"other","max_attempts":3,"retention_s":60,
-        "completion_target_ms":18000},)");
-    this->store.put("op", "", "config", configuration);
-    this->second.service = "other";
-    this->register_runner(this->second, "ready");
-    this->start();
-    this->wait_until(
-        [this]
-        {
-            return this->get(this->settings.readiness, "/-/readyz").status ==
-                   200;
-        });
-    // No runner serves the route of these jobs.
+    this->start_with_two_batch_services();
+    this->expect_jobs_of_the_other_service_complete();
+    // The service comes back, and its items run.
+    this->register_runner(this->first, "ready");
     for (int number = 0; number < 10; ++number)
     {
-        ASSERT_EQ(this->submit("lost-" + std::to_string(number)), 202);
+        this->wait_for_results("lost-" + std::to_string(number), 2);
     }
-    this->io.run_for(300ms);
-    ASSERT_EQ(this->submit("sound", 100, "/others/x"), 202);
-    this->wait_for_results("sound", 2);
-    this->expect_in_results("sound", "state", "completed");
+}
+
+// Guards against the same for a service whose runners refuse everything.
+TEST_F(node_process_test, a_refusing_service_does_not_stop_jobs_of_another)
+{
+    this->first.status = 503;
+    this->first.states_not_run = true;
+    this->register_runner(this->first, "ready");
+    this->start_with_two_batch_services();
+    this->expect_jobs_of_the_other_service_complete();
 }
 
 TEST_F(node_process_test, runs_a_job_and_stores_its_results)
