Jobs: Bound the retries of a submission that meets a foreign row

Callers saw: none known; found by reading. A submission whose id another writer's row already has in the jobs table, or a damaged record, got no answer, and the node sent transactions to the store without a pause.

Cause: after a failed condition the submission was tried again at once, and its time limit applied only while the view lagged behind.

The refusal is true, as nothing was stored.

--- a/servers/node/job_store.cpp
+++ b/servers/node/job_store.cpp
@@ -340,14 +340,20 @@
             {
                 co_return submit_outcome::accepted;
             }
-            const result<void> current =
-                co_await this->wait_for_version(partition, newest_limit);
-            if (!current &&
-                read_monotonic_clock() - started > duration(submit_limit))
+            static_cast<void>(
+                co_await this->wait_for_version(partition, newest_limit));
+            if (read_monotonic_clock() - started > duration(submit_limit))
             {
                 co_return may_exist ? submit_outcome::unknown
                                     : submit_outcome::unavailable;
             }
+            if (newest_limit == 0)
+            {
+                // No other job was accepted meanwhile: the row under the job's
+                // id is no job, and another try is not likely to succeed.
+                timer.expires_after(retry_pause);
+                co_await timer.async_wait(as_result);
+            }
             continue;
         }
         if (outcome.error().kind == error_kind::outcome_unknown)
--- a/tests/servers/node/job_store_test.cpp
+++ b/tests/servers/node/job_store_test.cpp
@@ -77,6 +77,17 @@
     EXPECT_TRUE(this->records.rows.empty());
 }
 
+// Guards against a submission that is tried without end or pause: another
+// writer left a row under the id of the job, and its text is no job record.
+TEST_F(job_store_test, a_row_that_is_no_job_does_not_hold_a_submission)
+{
+    const std::string partition = make_partition("letters");
+    this->records.rows[{std::string(job_table), partition, "j1"}] = {
+        std::string(job_table), partition, "j1", "no job", 1, false};
+    EXPECT_EQ(this->submit("j1"), submit_outcome::unavailable);
+    EXPECT_LT(this->records.transactions, 100);
+}
+
 // Guards against the loss of a job that an earlier version stored without a
 // time of acceptance.
 TEST_F(job_store_test, a_stored_job_without_a_time_is_young_and_gets_a_time)
