Stop: Record which requests a stop cuts off

Callers saw: requests that ended without an answer in a planned stop. The log of the node showed "the caller disconnected" for one, and nothing for others.

What was missing: an abandoned request did not say which side closed the connection; a request that was open when the process ended left no line; the end of a stop did not say how long it took and what was open.

Change: a disconnect names its side. Event 221 request_cut_off and the counter requests_cut_off_total stand for a connection that this process closed under a request; event 110 drain_finished has the length of the stop, the requests open at the signal and admitted since, those still open at the end and the connections with unread bytes. chicoryctl explain knows the new end of a request. No decision changes.

--- a/core/event.cpp
+++ b/core/event.cpp
@@ -35,6 +35,7 @@
         {settings_reloaded, "settings_reloaded", info, "The settings were reloaded after a signal."},
         {lines_left_out, "lines_left_out", info, "Log lines of an event were dropped because its limit of lines per second was exceeded."},
         {unexpected_error, "unexpected_error", error, "An unexpected error ended one task; the process continues."},
+        {drain_finished, "drain_finished", info, "A stopping process has no work left, or no time for it; the fields count its requests since the stop began."},
 
         {request_refused, "request_refused", info, "An online request was refused."},
         {attempt_failed, "attempt_failed", info, "An attempt on a runner returned no complete response."},
@@ -58,6 +59,7 @@
         {slot_redirected, "slot_redirected", debug, "The coordinator had no slot and named another group of the service's runners as redirect target."},
         {trait_quarantined, "trait_quarantined", error, "Requests that have all of `companions` crashed runners and are refused for `time_left_ms`."},
         {trait_released, "trait_released", info, "Requests with a quarantined trait may run again: a run showed that it is good, or nothing used it for long."},
+        {request_cut_off, "request_cut_off", warning, "This process closed the connection of a request before the response was complete."},
 
         {job_accepted, "job_accepted", info, "A batch job was accepted."},
         {job_refused, "job_refused", info, "A batch job was not accepted."},
--- a/core/event.hpp
+++ b/core/event.hpp
@@ -22,6 +22,7 @@
     settings_reloaded = 107,
     lines_left_out = 108,
     unexpected_error = 109,
+    drain_finished = 110,
 
     // 200: online requests, owners and runners.
     request_refused = 200,
@@ -45,6 +46,7 @@
     slot_redirected = 218,
     trait_quarantined = 219,
     trait_released = 220,
+    request_cut_off = 221,
 
     // 300: batch jobs.
     job_accepted = 300,
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -50,6 +50,8 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     bool busy = false;
+    /// True while the handler of a request runs.
+    bool has_exchange = false;
 };
 
 /// Options that all connections of a server share.
@@ -251,7 +253,8 @@
         co_return boost::outcome_v2::success();
     }
 
-    void watch_disconnect(std::function<void()> on_disconnect) override
+    void watch_disconnect(
+        std::function<void(connection_side)> on_disconnect) override
     {
         const std::shared_ptr<server_connection> watched = this->link;
         const std::shared_ptr<bool> still_active = this->active;
@@ -264,9 +267,14 @@
                 {
                     return;
                 }
-                if (code || is_closed_by_peer(watched->stream.socket()))
+                if (code)
                 {
-                    on_disconnect();
+                    // Only a close of the socket ends the wait with an error.
+                    on_disconnect(connection_side::server);
+                }
+                else if (is_closed_by_peer(watched->stream.socket()))
+                {
+                    on_disconnect(connection_side::peer);
                 }
             });
     }
@@ -402,6 +410,7 @@
     handle_exchange(server_connection& link, beast_exchange& exchange)
     {
         link.busy = true;
+        link.has_exchange = true;
         ++this->busy;
         try
         {
@@ -421,6 +430,7 @@
         }
         --this->busy;
         link.busy = false;
+        link.has_exchange = false;
         co_return exchange.can_reuse_connection() && this->accepting &&
             !this->options->closing;
     }
@@ -524,4 +534,18 @@
     return this->shared->busy;
 }
 
+std::size_t http_server::unread_requests() const
+{
+    std::size_t unread = 0;
+    for (const std::shared_ptr<server_connection>& link :
+         this->shared->connections)
+    {
+        beast::error_code ignored;
+        const bool has_bytes =
+            link->busy || link->stream.socket().available(ignored) > 0;
+        unread += has_bytes && !link->has_exchange ? 1 : 0;
+    }
+    return unread;
+}
+
 } // namespace chicory::net
--- a/net/http_server.hpp
+++ b/net/http_server.hpp
@@ -34,6 +34,13 @@
     duration write = std::chrono::seconds(30);
 };
 
+/// Side that closed a connection.
+enum class connection_side
+{
+    peer,
+    server,
+};
+
 /// One request, with methods that send its response.
 class http_exchange
 {
@@ -68,9 +75,11 @@
     /// Sends the end of the body.
     virtual boost::asio::awaitable<result<void>> end_stream() = 0;
 
-    /// Calls `on_disconnect` once if the peer closes the connection before the
-    /// response is complete. Must be called after the body was read.
-    virtual void watch_disconnect(std::function<void()> on_disconnect) = 0;
+    /// Calls `on_disconnect` once with the side that closed the connection if
+    /// that happens before the response is complete. Must be called after the
+    /// body was read.
+    virtual void
+    watch_disconnect(std::function<void(connection_side)> on_disconnect) = 0;
 };
 
 /// Handles one exchange. When the handler sends no response, the server sends
@@ -110,6 +119,10 @@
     /// Returns the number of exchanges in progress.
     std::size_t in_progress() const;
 
+    /// Returns the number of connections on which bytes of a request have
+    /// arrived, but not its whole head.
+    std::size_t unread_requests() const;
+
 private:
     struct state;
     std::shared_ptr<state> shared;
--- a/servers/control_client/log_explanation.cpp
+++ b/servers/control_client/log_explanation.cpp
@@ -19,11 +19,12 @@
 constexpr std::int64_t microseconds_per_second = 1000000;
 
 /// Events that end a request, an item or a job.
-constexpr std::array<std::string_view, 8> final_events = {
+constexpr std::array<std::string_view, 9> final_events = {
     "request_refused",
     "request_failed",
     "request_completed",
     "request_abandoned",
+    "request_cut_off",
     "item_finished",
     "item_failed",
     "job_completed",
--- a/servers/gate/online_session.cpp
+++ b/servers/gate/online_session.cpp
@@ -131,7 +131,7 @@
 void online_session::watch_caller()
 {
     this->exchange.watch_disconnect(
-        [watched = this->watch]()
+        [watched = this->watch](net::connection_side)
         {
             watched->disconnected = true;
             if (const auto attempt = watched->attempt.lock())
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -504,6 +504,18 @@
         exchange,
         std::move(body.value()),
         arrived);
+    if (this->stop)
+    {
+        ++this->stop->admitted;
+    }
+    this->open_calls.insert(call);
+    // Also removes the call when it ends with an exception.
+    const std::shared_ptr<void> removal(
+        nullptr,
+        [this, call](void*)
+        {
+            this->open_calls.erase(call);
+        });
     co_await call->run();
 }
 
@@ -520,6 +532,9 @@
 
 void node_process::announce()
 {
+    this->stop.emplace();
+    this->stop->began = read_monotonic_clock();
+    this->stop->open = this->caller_server.in_progress();
     this->members.leave();
     this->job_work.leave();
     this->drain_until = read_monotonic_clock() + this->settings.stop_grace -
@@ -543,6 +558,7 @@
     if (this->caller_server.in_progress() == 0 ||
         read_monotonic_clock() >= this->drain_until)
     {
+        this->report_drained();
         this->caller_server.stop_accepting();
         this->lifecycle.on_drained();
         return;
@@ -555,4 +571,20 @@
         });
 }
 
+void node_process::report_drained()
+{
+    for (const std::shared_ptr<online_call>& call : this->open_calls)
+    {
+        call->record_cut_off();
+    }
+    const stop_counts& counts = *this->stop;
+    log_event(
+        event::drain_finished,
+        {{"ms", (read_monotonic_clock() - counts.began).count() / 1000},
+         {"open_at_signal", counts.open},
+         {"admitted", counts.admitted},
+         {"open", this->caller_server.in_progress()},
+         {"unread", this->caller_server.unread_requests()}});
+}
+
 } // namespace chicory::node
--- a/servers/node/node_process.hpp
+++ b/servers/node/node_process.hpp
@@ -23,6 +23,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
 
 namespace chicory::node
 {
@@ -68,6 +71,9 @@
     void announce();
     void drain();
     void await_drained();
+    /// Logs the requests that the stop cuts off and what happened to others
+    /// since it began.
+    void report_drained();
 
     boost::asio::io_context& context;
     node_settings settings;
@@ -96,6 +102,16 @@
     boost::asio::signal_set reload_signals;
     boost::asio::steady_timer drain_timer;
     time_point drain_until;
+    /// Online requests in progress.
+    std::set<std::shared_ptr<online_call>> open_calls;
+    /// State at the stop signal, and what has been counted since then.
+    struct stop_counts
+    {
+        time_point began;
+        std::size_t open = 0;
+        std::int64_t admitted = 0;
+    };
+    std::optional<stop_counts> stop;
 };
 
 } // namespace chicory::node
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -60,11 +60,11 @@
 {
     const std::weak_ptr<online_call> self = this->weak_from_this();
     this->exchange.watch_disconnect(
-        [self]
+        [self](net::connection_side side)
         {
             if (const std::shared_ptr<online_call> call = self.lock())
             {
-                call->on_caller_disconnected();
+                call->on_caller_disconnected(side);
             }
         });
     this->start_timer();
@@ -138,8 +138,12 @@
         });
 }
 
-void online_call::on_caller_disconnected()
+void online_call::on_caller_disconnected(net::connection_side side)
 {
+    if (side == net::connection_side::server)
+    {
+        this->record_cut_off();
+    }
     this->caller_disconnected = true;
     this->close_run();
 }
@@ -150,6 +154,17 @@
     this->close_run();
 }
 
+void online_call::record_cut_off()
+{
+    this->services.counters.add("requests_cut_off_total");
+    log_event(
+        event::request_cut_off,
+        {{"request", this->parameters.attempt_id},
+         {"runs", this->runs},
+         {"begun", this->head_sent ? 1 : 0},
+         {"age_ms", (read_monotonic_clock() - this->arrived).count() / 1000}});
+}
+
 void online_call::close_run()
 {
     this->slot_request_cancellation.cancel();
--- a/servers/node/online_call.hpp
+++ b/servers/node/online_call.hpp
@@ -34,6 +34,10 @@
     /// Executes the request and responds to the caller.
     boost::asio::awaitable<void> run();
 
+    /// Records that this process closes the caller's connection before the
+    /// response is complete.
+    void record_cut_off();
+
 private:
     enum class step
     {
@@ -44,7 +48,7 @@
     };
 
     void start_timer();
-    void on_caller_disconnected();
+    void on_caller_disconnected(net::connection_side side);
     void on_deadline();
     void close_run();
     bool is_aborted() const;
--- a/tests/net/http_failure_test.cpp
+++ b/tests/net/http_failure_test.cpp
@@ -162,7 +162,7 @@
             asio::steady_timer disconnected(co_await asio::this_coro::executor);
             disconnected.expires_after(time_limit);
             exchange.watch_disconnect(
-                [&]()
+                [&](connection_side)
                 {
                     was_called = true;
                     disconnected.cancel();
--- a/tests/servers/batch/submission_test.cpp
+++ b/tests/servers/batch/submission_test.cpp
@@ -65,7 +65,7 @@
         co_return boost::outcome_v2::success();
     }
 
-    void watch_disconnect(std::function<void()>) override
+    void watch_disconnect(std::function<void(net::connection_side)>) override
     {
     }
 
--- a/tests/servers/gate/online_session_test.cpp
+++ b/tests/servers/gate/online_session_test.cpp
@@ -63,9 +63,13 @@
         co_return boost::outcome_v2::success();
     }
 
-    void watch_disconnect(std::function<void()> hook) override
+    void
+    watch_disconnect(std::function<void(net::connection_side)> hook) override
     {
-        this->disconnect = std::move(hook);
+        this->disconnect = [hook]
+        {
+            hook(net::connection_side::peer);
+        };
     }
 
     net::http_request request;
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -113,7 +113,7 @@
 {
     const auto disconnected = std::make_shared<bool>(false);
     exchange.watch_disconnect(
-        [disconnected]
+        [disconnected](net::connection_side)
         {
             *disconnected = true;
         });
--- a/tests/standins/runner_standin.cpp
+++ b/tests/standins/runner_standin.cpp
@@ -234,7 +234,7 @@
     ++work->readers;
     ++work->readers_so_far;
     exchange.watch_disconnect(
-        [disconnected, work]()
+        [disconnected, work](net::connection_side)
         {
             *disconnected = true;
             work->notify();
