--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -508,14 +508,15 @@
     {
         ++this->stop->admitted;
     }
-    this->open_calls.insert(call);
-    // Also removes the call when it ends with an exception.
+    // Removes the call also when it ends with an exception. The set is shared,
+    // because a call that is still open at the exit outlives this object.
     const std::shared_ptr<void> removal(
         nullptr,
-        [this, call](void*)
+        [calls = this->open_calls, call](void*)
         {
-            this->open_calls.erase(call);
+            calls->erase(call);
         });
+    this->open_calls->insert(call);
     co_await call->run();
 }
 
@@ -573,7 +574,7 @@
 
 void node_process::report_drained()
 {
-    for (const std::shared_ptr<online_call>& call : this->open_calls)
+    for (const std::shared_ptr<online_call>& call : *this->open_calls)
     {
         call->record_cut_off();
     }
--- a/servers/node/node_process.hpp
+++ b/servers/node/node_process.hpp
@@ -103,7 +103,8 @@
     boost::asio::steady_timer drain_timer;
     time_point drain_until;
     /// Online requests in progress.
-    std::set<std::shared_ptr<online_call>> open_calls;
+    std::shared_ptr<std::set<std::shared_ptr<online_call>>> open_calls =
+        std::make_shared<std::set<std::shared_ptr<online_call>>>();
     /// State at the stop signal, and what has been counted since then.
     struct stop_counts
     {
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -125,8 +125,13 @@
     {
         head.headers["server-leaving"] = "1";
     }
-    co_await exchange.start_stream(std::move(head));
     asio::steady_timer timer(this->context);
+    if (this->head_time > std::chrono::milliseconds(0))
+    {
+        timer.expires_after(this->head_time);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    co_await exchange.start_stream(std::move(head));
     if (!this->deadly_part.empty() &&
         has_shared_part(exchange.head().headers, this->deadly_part))
     {
--- a/tests/standins/engine_standin.hpp
+++ b/tests/standins/engine_standin.hpp
@@ -49,6 +49,8 @@
     std::vector<engine_arrival> arrivals;
     std::int64_t events = 4;
     std::chrono::milliseconds event_time{1};
+    /// Delay before the head of a stream.
+    std::chrono::milliseconds head_time{0};
     /// Breaks the stream once, within the event after this one; zero disables
     /// this.
     std::int64_t break_after_event = 0;
