HTTP server: Let a connection's coroutine decide whether it is idle

Callers saw: a request sent just before a node's announcement of its stop ended (2.44 s after SIGTERM) got no answer; its connection was closed.

Cause: close_after_responses and stop_accepting closed connections that were not busy. A request whose bytes had been read from the socket, while the coroutine that reads had not been resumed yet, was in neither place. The request was then admitted on a closed socket, and our own close was taken for the caller's. Class of fault: a decision about the state of another task, made from the outside between two of its steps.

Change: a stop only cancels the read of an idle connection. If bytes were read already, the cancellation changes nothing and the request is handled; if they came since, the coroutine reads them; otherwise it closes the connection.

Why it works: each connection is closed by the one coroutine that knows what has been read.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -47,8 +47,21 @@
     {
     }
 
+    /// Ends the connection unless a request has begun to arrive. Only the read
+    /// is cancelled: whether a request has arrived is known to the coroutine
+    /// that reads, which then closes the connection.
+    void stop_if_idle()
+    {
+        if (!this->busy)
+        {
+            beast::error_code ignored;
+            this->stream.socket().cancel(ignored);
+        }
+    }
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    /// True from the first bytes of a request to the end of its response.
     bool busy = false;
     /// True while the handler of a request runs.
     bool has_exchange = false;
@@ -86,14 +99,14 @@
     /// closed: the peer closed it, a limit was exceeded or the head is invalid.
     asio::awaitable<bool> read_head()
     {
-        if (this->link->buffer.size() == 0)
+        // The first bytes are read separately, so that the time limit of an
+        // idle connection and that of a slow header differ.
+        while (this->link->buffer.size() == 0)
         {
             this->link->stream.expires_after(this->options->limits.idle);
-            // The first bytes are read separately, so that the time limit of
-            // an idle connection and that of a slow header differ.
             auto [first, size] = co_await this->link->stream.async_read_some(
                 this->link->buffer.prepare(first_read_size), as_result);
-            if (first)
+            if (first && !this->has_request_despite_stop(first))
             {
                 co_return false;
             }
@@ -293,6 +306,15 @@
     }
 
 private:
+    /// Returns whether a request has arrived on a connection whose read was
+    /// ended by `server_connection::stop_if_idle`.
+    bool has_request_despite_stop(beast::error_code failure)
+    {
+        beast::error_code ignored;
+        return failure == asio::error::operation_aborted &&
+               this->link->stream.socket().available(ignored) > 0;
+    }
+
     /// Copies the parsed method, target and headers to `request`.
     void copy_head()
     {
@@ -501,10 +523,7 @@
     for (const std::shared_ptr<server_connection>& link :
          this->shared->connections)
     {
-        if (!link->busy)
-        {
-            link->stream.close();
-        }
+        link->stop_if_idle();
     }
 }
 
@@ -514,13 +533,7 @@
     for (const std::shared_ptr<server_connection>& link :
          this->shared->connections)
     {
-        // A connection with received bytes stays open, as a request that has
-        // arrived gets a response even if it was not read yet.
-        beast::error_code ignored;
-        if (!link->busy && link->stream.socket().available(ignored) == 0)
-        {
-            link->stream.close();
-        }
+        link->stop_if_idle();
     }
 }
 
--- a/tests/net/stop/server_stop_test.cpp
+++ b/tests/net/stop/server_stop_test.cpp
@@ -141,7 +141,11 @@
         client.poll();
         while (!condition() && !client.failure)
         {
-            ASSERT_LT(read_monotonic_clock(), until);
+            ASSERT_LT(read_monotonic_clock(), until)
+                << "received \"" << client.received << "\", " << this->handled
+                << " handled, " << this->server->in_progress()
+                << " in progress";
+            this->io.restart();
             this->io.run_for(1ms);
             client.poll();
         }
