HTTP server: Count a request from its first byte, and close the listener last

Callers saw: a process that stops resets requests whose head is half read, requests in the socket and connections in the listener's backlog. The caller of a request that must not be repeated can't tell what became of it.

Cause: work was counted from the whole head on. A server with a count of zero was taken for idle, while requests had begun to arrive; closing the listener resets what the kernel has accepted. Class of fault: a count of work that begins after the work was accepted.

Change: in_progress counts a request from its first byte. stop_accepting first accepts the backlog, then closes the listener, so that later callers are refused by the kernel and go elsewhere at once. Connections that are new have half a second to send their request; one that is not whole by then gets a 503 with Retry-After 0, which is true: it was not handled.

Why it works: no request that the process may have received is outside the count, and the wait for those on their way is bounded, for silent callers too.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -6,14 +6,17 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cctype>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -30,6 +33,9 @@
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_size = 65536;
 constexpr std::size_t first_read_size = 4096;
+/// Time that callers have, after the listener was closed, to send a request
+/// whose connection is established or whose first bytes have arrived.
+constexpr std::chrono::milliseconds request_arrival_limit(500);
 /// Largest number of buffered bytes that are not parsed yet, besides a head.
 /// Bounds the longest line between two chunks, trailers included.
 constexpr std::size_t max_unparsed_bytes = 65536;
@@ -39,6 +45,16 @@
     return make_error(error_kind::unavailable, "peer: " + code.message());
 }
 
+/// Returns the response to a request that has not arrived whole when the
+/// server stops.
+http_response make_stop_refusal()
+{
+    http_response refusal;
+    refusal.status = 503;
+    refusal.headers["retry-after"] = "0";
+    return refusal;
+}
+
 /// One accepted connection.
 struct server_connection
 {
@@ -63,6 +79,8 @@
     beast::flat_buffer buffer;
     /// True from the first bytes of a request to the end of its response.
     bool busy = false;
+    /// True until the first bytes of the first request.
+    bool fresh = true;
     /// True while the handler of a request runs.
     bool has_exchange = false;
 };
@@ -73,6 +91,8 @@
     http_server_limits limits;
     /// True when no connection may carry another request.
     bool closing = false;
+    /// False before the server listens and after it was stopped.
+    bool accepting = false;
 };
 
 class beast_exchange final : public http_exchange
@@ -113,6 +133,7 @@
             this->link->buffer.commit(size);
         }
         this->link->busy = true;
+        this->link->fresh = false;
         this->link->stream.expires_after(this->options->limits.header);
         auto [code, count] = co_await http::async_read_header(
             this->link->stream, this->link->buffer, this->parser, as_result);
@@ -124,6 +145,12 @@
             co_await this->respond(std::move(refusal));
             co_return false;
         }
+        if (code == asio::error::operation_aborted && !this->options->accepting)
+        {
+            this->must_close = true;
+            co_await this->respond(make_stop_refusal());
+            co_return false;
+        }
         if (code)
         {
             co_return false;
@@ -383,13 +410,13 @@
     std::shared_ptr<server_options> options =
         std::make_shared<server_options>();
     std::set<std::shared_ptr<server_connection>> connections;
-    std::size_t busy = 0;
-    bool accepting = false;
+    /// Limits how long a stopped server waits for requests on their way.
+    std::optional<asio::steady_timer> stop_timer;
 
     asio::awaitable<void> accept_connections()
     {
         const std::shared_ptr<state> self = this->shared_from_this();
-        while (this->accepting)
+        while (this->options->accepting)
         {
             auto [code, socket] =
                 co_await this->acceptor.async_accept(this->executor, as_result);
@@ -401,12 +428,84 @@
             {
                 continue;
             }
-            set_connection_options(socket);
-            const std::shared_ptr<server_connection> link =
-                std::make_shared<server_connection>(std::move(socket));
-            this->connections.insert(link);
-            asio::co_spawn(this->executor, self->serve(link), asio::detached);
+            this->add_connection(std::move(socket));
+        }
+    }
+
+    void add_connection(asio::ip::tcp::socket socket)
+    {
+        set_connection_options(socket);
+        const std::shared_ptr<server_connection> link =
+            std::make_shared<server_connection>(std::move(socket));
+        this->connections.insert(link);
+        asio::co_spawn(
+            this->executor,
+            this->shared_from_this()->serve(link),
+            asio::detached);
+    }
+
+    /// Accepts the connections that callers have established and closes the
+    /// listener, which would reset them.
+    void close_listener()
+    {
+        beast::error_code code;
+        this->acceptor.non_blocking(true, code);
+        while (!code)
+        {
+            asio::ip::tcp::socket socket(this->executor);
+            this->acceptor.accept(socket, code);
+            if (!code)
+            {
+                this->add_connection(std::move(socket));
+            }
         }
+        this->acceptor.close(code);
+    }
+
+    /// Ends the connections whose request has not arrived by the end of
+    /// `request_arrival_limit`.
+    void limit_arrivals()
+    {
+        if (this->count_unfinished() == 0)
+        {
+            return;
+        }
+        this->stop_timer.emplace(this->executor, request_arrival_limit);
+        const std::weak_ptr<state> self = this->weak_from_this();
+        this->stop_timer->async_wait(
+            [self](beast::error_code code)
+            {
+                const std::shared_ptr<state> stopped = self.lock();
+                if (!code && stopped != nullptr)
+                {
+                    stopped->end_arrivals();
+                }
+            });
+    }
+
+    void end_arrivals()
+    {
+        for (const std::shared_ptr<server_connection>& link : this->connections)
+        {
+            if (!link->has_exchange)
+            {
+                beast::error_code ignored;
+                link->stream.socket().cancel(ignored);
+            }
+        }
+    }
+
+    /// Returns the number of connections with a request, and, after a stop, of
+    /// those whose first request may be on its way.
+    std::size_t count_unfinished() const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            this->connections.begin(),
+            this->connections.end(),
+            [this](const std::shared_ptr<server_connection>& link)
+            {
+                return link->busy || (link->fresh && !this->options->accepting);
+            }));
     }
 
     asio::awaitable<void> serve(std::shared_ptr<server_connection> link)
@@ -416,13 +515,9 @@
         while (keep_open)
         {
             beast_exchange exchange(link, this->options);
-            const bool received = co_await exchange.read_head();
+            keep_open = co_await exchange.read_head() &&
+                        co_await self->handle_exchange(*link, exchange);
             link->busy = false;
-            if (!received)
-            {
-                break;
-            }
-            keep_open = co_await self->handle_exchange(*link, exchange);
         }
         this->connections.erase(link);
         link->stream.close();
@@ -431,9 +526,7 @@
     asio::awaitable<bool>
     handle_exchange(server_connection& link, beast_exchange& exchange)
     {
-        link.busy = true;
         link.has_exchange = true;
-        ++this->busy;
         try
         {
             co_await this->handler(exchange);
@@ -450,10 +543,8 @@
             failure.status = 500;
             co_await exchange.respond(std::move(failure));
         }
-        --this->busy;
-        link.busy = false;
         link.has_exchange = false;
-        co_return exchange.can_reuse_connection() && this->accepting &&
+        co_return exchange.can_reuse_connection() && this->options->accepting &&
             !this->options->closing;
     }
 };
@@ -501,7 +592,7 @@
             error_kind::unavailable,
             "listen on " + name + ": " + code.message());
     }
-    this->shared->accepting = true;
+    this->shared->options->accepting = true;
     asio::co_spawn(
         this->shared->executor,
         this->shared->accept_connections(),
@@ -517,14 +608,20 @@
 
 void http_server::stop_accepting()
 {
-    this->shared->accepting = false;
-    beast::error_code ignored;
-    this->shared->acceptor.close(ignored);
+    if (!std::exchange(this->shared->options->accepting, false))
+    {
+        return;
+    }
+    this->shared->close_listener();
     for (const std::shared_ptr<server_connection>& link :
          this->shared->connections)
     {
-        link->stop_if_idle();
+        if (!link->fresh)
+        {
+            link->stop_if_idle();
+        }
     }
+    this->shared->limit_arrivals();
 }
 
 void http_server::close_after_responses()
@@ -533,7 +630,11 @@
     for (const std::shared_ptr<server_connection>& link :
          this->shared->connections)
     {
-        link->stop_if_idle();
+        // The caller of a fresh connection is about to send its request.
+        if (!link->fresh)
+        {
+            link->stop_if_idle();
+        }
     }
 }
 
@@ -544,7 +645,7 @@
 
 std::size_t http_server::in_progress() const
 {
-    return this->shared->busy;
+    return this->shared->count_unfinished();
 }
 
 std::size_t http_server::unread_requests() const
--- a/net/http_server.hpp
+++ b/net/http_server.hpp
@@ -105,18 +105,21 @@
     std::uint16_t port() const;
 
     /// Stops accepting connections and closes idle ones. Exchanges in progress
-    /// are completed.
+    /// are completed. Requests on established connections that arrive within
+    /// half a second are handled; later ones are refused with status 503.
     void stop_accepting();
 
-    /// Closes idle connections immediately and each other connection after its
-    /// next response. New connections are still accepted, for one request
-    /// each.
+    /// Closes connections that are idle after a request, and each other one
+    /// after its next response. New connections are still accepted, for one
+    /// request each.
     void close_after_responses();
 
     /// Sets the limits for requests that are received after this call.
     void set_limits(const http_server_limits& limits);
 
-    /// Returns the number of exchanges in progress.
+    /// Returns the number of requests that have begun to arrive and whose
+    /// responses are not complete. After `stop_accepting` it includes new
+    /// connections whose first request may be on its way.
     std::size_t in_progress() const;
 
     /// Returns the number of connections on which bytes of a request have
--- a/tests/net/stop/server_stop_test.cpp
+++ b/tests/net/stop/server_stop_test.cpp
@@ -314,22 +314,19 @@
 {
     this->responds_before_the_body = true;
     raw_client client(this->io, this->server->port());
-    client.write("POST /x HTTP/1.1\r\nHost: a.example\r\n"
-                 "Content-Length: 300000\r\n\r\n");
-    this->run_until(
-        client,
-        [this]
-        {
-            return this->handled == 1;
-        });
+    client.write(
+        "POST /x HTTP/1.1\r\nHost: a.example\r\nContent-Length: "
+        "300000\r\n\r\n" +
+        std::string(100000, 'x'));
+    this->run_steps(3);
     this->stop();
-    client.write(std::string(100000, 'x'));
     this->run_until(
         client,
         []
         {
             return false;
         });
+    EXPECT_EQ(this->handled, 1);
     EXPECT_TRUE(client.received.starts_with("HTTP/1.1 503"));
     EXPECT_EQ(client.failure, asio::error::eof) << client.failure.message();
 }
