Stop: Begin no request that may outlast the stop, and answer what is left

Callers saw: requests that a node took late in its grace period were run and cut at its end with no answer, among them ones that must not be repeated.

Cause: a stopping node accepted every request on a new connection up to the end, whatever time its route allows, and then ended the process under what was open: streams, requests without a head, waiting requests, half-read bodies, submissions of jobs. A second signal did the same at once. Class of fault: a decision at one moment (accept) that ignores a limit known at that moment.

Change: serving::stop_plan divides the grace period and decides which work may begin: what ends by its own deadline before the time for work is over. All else is refused with status 503 and Retry-After 0 before it is sent to a runner; so is a request that waits for a slot, at the signal, while its caller can go elsewhere. No retry and no resumption begins either. Submissions count with what the store may need; a poll of results is not held. At the end of the time for work each open request gets an answer: 503 if it has not run or has not arrived whole, 502 or 504 if it may have run; a stream in progress is broken off. A second signal does the same at once. The stop waits for calls that are relayed for other nodes, too, within the same limits.

Why it works: callers that stay get a refusal within a round trip, so that they no longer prolong the stop; its length is bounded by what was accepted before.

Cost, on purpose: a request whose caller allows more time than is left is refused, although most would end sooner.

--- a/core/event.cpp
+++ b/core/event.cpp
@@ -59,7 +59,7 @@
         {slot_redirected, "slot_redirected", debug, "The coordinator had no slot and named another group of the service's runners as redirect target."},
         {trait_quarantined, "trait_quarantined", error, "Requests that have all of `companions` crashed runners and are refused for `time_left_ms`."},
         {trait_released, "trait_released", info, "Requests with a quarantined trait may run again: a run showed that it is good, or nothing used it for long."},
-        {request_cut_off, "request_cut_off", warning, "This process closed the connection of a request before the response was complete."},
+        {request_cut_off, "request_cut_off", warning, "This process ended a request that may have run before its response was complete."},
 
         {job_accepted, "job_accepted", info, "A batch job was accepted."},
         {job_refused, "job_refused", info, "A batch job was not accepted."},
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -18,6 +18,7 @@
 #include <cctype>
 #include <optional>
 #include <set>
+#include <sstream>
 #include <utility>
 
 namespace chicory::net
@@ -49,6 +50,14 @@
     return make_error(error_kind::unavailable, "peer: " + code.message());
 }
 
+error make_abandoned_error()
+{
+    return make_error(
+        error_kind::unavailable,
+        "response: expected a server that runs, found one that has stopped and "
+        "answered the request");
+}
+
 /// Returns the response to a request that has not arrived whole when the
 /// server stops.
 http_response make_stop_refusal()
@@ -78,6 +87,8 @@
     }
 }
 
+class beast_exchange;
+
 /// One accepted connection.
 struct server_connection
 {
@@ -104,8 +115,8 @@
     bool busy = false;
     /// True until the first bytes of the first request.
     bool fresh = true;
-    /// True while the handler of a request runs.
-    bool has_exchange = false;
+    /// Exchange whose handler runs, or null.
+    beast_exchange* exchange = nullptr;
 };
 
 /// Options that all connections of a server share.
@@ -253,6 +264,10 @@
 
     asio::awaitable<result<void>> respond(http_response source) override
     {
+        if (this->abandoned)
+        {
+            co_return make_abandoned_error();
+        }
         http::response<http::string_body> response;
         this->fill_head(response, source);
         response.body() = std::move(source.body);
@@ -271,6 +286,10 @@
 
     asio::awaitable<result<void>> start_stream(http_response source) override
     {
+        if (this->abandoned)
+        {
+            co_return make_abandoned_error();
+        }
         http::response<http::empty_body> response;
         this->fill_head(response, source);
         response.chunked(true);
@@ -346,20 +365,52 @@
     /// another request.
     bool can_reuse_connection() const
     {
-        return this->finished && !this->broken && this->keep_alive;
+        return this->finished && !this->broken && !this->abandoned &&
+               this->keep_alive;
     }
 
     /// Returns whether no part of a response was sent.
     bool has_no_response() const
     {
-        return !this->started && !this->finished && !this->broken;
+        return !this->started && !this->finished && !this->broken &&
+               !this->abandoned;
+    }
+
+    /// Sends a response in place of the handler, or breaks off the one that the
+    /// handler has begun.
+    void abandon()
+    {
+        if (std::exchange(this->abandoned, true))
+        {
+            return;
+        }
+        if (!this->started && !this->finished)
+        {
+            http_response answer = make_stop_refusal();
+            if (this->parser.is_done())
+            {
+                answer = http_response();
+                answer.status = 504;
+            }
+            this->must_close = true;
+            this->write_now(answer);
+            beast::error_code ignored;
+            this->link->stream.socket().cancel(ignored);
+            return;
+        }
+        this->link->stream.close();
+    }
+
+    bool is_abandoned() const
+    {
+        return this->abandoned;
     }
 
     /// Returns whether a response was sent before the whole request was read.
     bool leaves_bytes_unread() const
     {
-        return (this->started || this->finished) && !this->broken &&
-               !this->parser.is_done();
+        return (this->started || this->finished || this->abandoned) &&
+               !this->broken && !this->parser.is_done();
     }
 
 private:
@@ -372,6 +423,20 @@
                this->link->stream.socket().available(ignored) > 0;
     }
 
+    /// Sends a short response without waiting for the peer.
+    void write_now(const http_response& source)
+    {
+        http::response<http::string_body> response;
+        this->fill_head(response, source);
+        response.prepare_payload();
+        std::ostringstream text;
+        text << response;
+        asio::ip::tcp::socket& socket = this->link->stream.socket();
+        beast::error_code ignored;
+        socket.non_blocking(true, ignored);
+        socket.write_some(asio::buffer(text.str()), ignored);
+    }
+
     /// Copies the parsed method, target and headers to `request`.
     void copy_head()
     {
@@ -422,6 +487,8 @@
     bool started = false;
     bool finished = false;
     bool broken = false;
+    /// True after `abandon`: the handler's response is not sent.
+    bool abandoned = false;
 };
 
 } // namespace
@@ -517,7 +584,7 @@
     {
         for (const std::shared_ptr<server_connection>& link : this->connections)
         {
-            if (!link->has_exchange)
+            if (link->exchange == nullptr)
             {
                 beast::error_code ignored;
                 link->stream.socket().cancel(ignored);
@@ -560,7 +627,7 @@
     asio::awaitable<bool>
     handle_exchange(server_connection& link, beast_exchange& exchange)
     {
-        link.has_exchange = true;
+        link.exchange = &exchange;
         try
         {
             co_await this->handler(exchange);
@@ -577,7 +644,7 @@
             failure.status = 500;
             co_await exchange.respond(std::move(failure));
         }
-        link.has_exchange = false;
+        link.exchange = nullptr;
         co_return exchange.can_reuse_connection() && this->options->accepting &&
             !this->options->closing;
     }
@@ -672,6 +739,20 @@
     }
 }
 
+void http_server::answer_unfinished()
+{
+    this->stop_accepting();
+    this->shared->end_arrivals();
+    for (const std::shared_ptr<server_connection>& link :
+         this->shared->connections)
+    {
+        if (link->exchange != nullptr)
+        {
+            link->exchange->abandon();
+        }
+    }
+}
+
 void http_server::set_limits(const http_server_limits& limits)
 {
     this->shared->options->limits = limits;
@@ -682,18 +763,4 @@
     return this->shared->count_unfinished();
 }
 
-std::size_t http_server::unread_requests() const
-{
-    std::size_t unread = 0;
-    for (const std::shared_ptr<server_connection>& link :
-         this->shared->connections)
-    {
-        beast::error_code ignored;
-        const bool has_bytes =
-            link->busy || link->stream.socket().available(ignored) > 0;
-        unread += has_bytes && !link->has_exchange ? 1 : 0;
-    }
-    return unread;
-}
-
 } // namespace chicory::net
--- a/net/http_server.hpp
+++ b/net/http_server.hpp
@@ -114,6 +114,13 @@
     /// request each.
     void close_after_responses();
 
+    /// Stops accepting and ends all requests at once. One without a response
+    /// gets status 503 if it has not arrived whole, so that its handler has not
+    /// begun to execute it, and 504 otherwise; responses that have begun are
+    /// broken off. Handlers must not execute a request before its whole body
+    /// was read.
+    void answer_unfinished();
+
     /// Sets the limits for requests that are received after this call.
     void set_limits(const http_server_limits& limits);
 
@@ -122,10 +129,6 @@
     /// connections whose first request may be on its way.
     std::size_t in_progress() const;
 
-    /// Returns the number of connections on which bytes of a request have
-    /// arrived, but not its whole head.
-    std::size_t unread_requests() const;
-
 private:
     struct state;
     std::shared_ptr<state> shared;
--- a/policy/serving/serving.hpp
+++ b/policy/serving/serving.hpp
@@ -22,6 +22,7 @@
 #include "policy/serving/serving_configuration.hpp"
 #include "policy/serving/slot_messages.hpp"
 #include "policy/serving/slot_scheduler.hpp"
+#include "policy/serving/stop_plan.hpp"
 #include "policy/serving/wait_estimate.hpp"
 
 #endif
--- a/servers/node/job_api.cpp
+++ b/servers/node/job_api.cpp
@@ -27,6 +27,8 @@
 constexpr std::chrono::milliseconds over_limit_retry(1000);
 /// Time within which the store must confirm the cancellation of a job.
 constexpr std::chrono::milliseconds cancel_limit(3000);
+/// Time that the store may need at most for a job, its last call included.
+constexpr std::chrono::milliseconds submission_limit(4000);
 
 } // namespace
 
@@ -34,10 +36,12 @@
     job_store& initial_store,
     job_runner& initial_runner,
     metrics& initial_counters,
+    const stop_state& initial_stop,
     std::string vm_id,
     std::function<std::uint64_t()> incarnation)
     : store(initial_store), runner(initial_runner), counters(initial_counters),
-      self(std::move(vm_id)), own_incarnation(std::move(incarnation))
+      stop(initial_stop), self(std::move(vm_id)),
+      own_incarnation(std::move(incarnation))
 {
 }
 
@@ -61,6 +65,18 @@
             net::make_text_response(status_bad_request, why));
         co_return;
     }
+    if (!this->stop.admits(read_monotonic_clock() + duration(submission_limit)))
+    {
+        log_event(
+            event::job_refused,
+            {{"job", id},
+             {"reason", std::string(name_of(reason::draining))},
+             {"certain", 1}});
+        this->counters.count_refusal(reason::draining);
+        co_await exchange.respond(platform::make_refusal(
+            duration::zero(), name_of(reason::draining)));
+        co_return;
+    }
     serving::job_record job;
     job.id = id;
     job.route = route.name;
@@ -239,7 +255,7 @@
     const serving::job_record* known = this->store.find(call.job);
     const std::size_t after = static_cast<std::size_t>(call.after);
     if (known != nullptr && known->listed.size() <= after &&
-        serving::is_open(*known) && wait > duration::zero())
+        serving::is_open(*known) && wait > duration::zero() && !this->stop.plan)
     {
         co_await this->store.wait_for_results(
             call.job, after, read_monotonic_clock() + wait);
--- a/servers/node/job_api.hpp
+++ b/servers/node/job_api.hpp
@@ -5,6 +5,7 @@
 #include "platform/platform.hpp"
 #include "servers/node/job_runner.hpp"
 #include "servers/node/job_store.hpp"
+#include "servers/node/stop_state.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -25,6 +26,7 @@
         job_store& initial_store,
         job_runner& initial_runner,
         metrics& counters,
+        const stop_state& initial_stop,
         std::string vm_id,
         std::function<std::uint64_t()> incarnation);
 
@@ -62,6 +64,7 @@
     job_runner& runner;
     std::map<std::string, std::vector<std::string>> item_ids;
     metrics& counters;
+    const stop_state& stop;
     std::string self;
     std::function<std::uint64_t()> own_incarnation;
 };
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -21,12 +21,7 @@
 constexpr int status_unavailable = 503;
 /// Retry delay for callers of a node that has no configuration yet.
 constexpr std::chrono::milliseconds no_configuration_retry(500);
-/// Time during which a stopping node still accepts new requests, while its
-/// departure is announced to callers.
-constexpr std::chrono::milliseconds announce_time(2500);
 constexpr std::chrono::milliseconds drain_poll(50);
-/// Part of the grace period that is reserved for the exit of the process.
-constexpr std::chrono::milliseconds drain_reserve(400);
 /// Number of entry addresses in one response.
 constexpr std::size_t max_entry_addresses = 8;
 
@@ -164,7 +159,8 @@
            this->slots,
            this->runners,
            this->counters,
-           this->settings.bounds},
+           this->settings.bounds,
+           this->stop},
           this->jobs,
           this->settings.vm_id,
           [this]
@@ -179,6 +175,7 @@
           this->jobs,
           this->job_work,
           this->counters,
+          this->stop,
           this->settings.vm_id,
           [this]
           {
@@ -225,11 +222,11 @@
            },
            [this]
            {
-               this->context.stop();
+               this->exit();
            },
            [this]
            {
-               const std::size_t open = this->caller_server.in_progress();
+               const std::size_t open = this->open_requests();
                return open == 0
                           ? std::string()
                           : std::to_string(open) + " requests in progress";
@@ -498,16 +495,14 @@
             this->slots,
             this->runners,
             this->counters,
-            this->settings.bounds},
+            this->settings.bounds,
+            this->stop},
         std::move(configuration),
         route,
         exchange,
         std::move(body.value()),
         arrived);
-    if (this->stop)
-    {
-        ++this->stop->admitted;
-    }
+    this->stop.arrived += this->stop.plan ? 1 : 0;
     // Removes the call also when it ends with an exception. The set is shared,
     // because a call that is still open at the exit outlives this object.
     const std::shared_ptr<void> removal(
@@ -531,18 +526,39 @@
     this->coordinator.on_packet(sender, packet);
 }
 
+std::size_t node_process::open_requests() const
+{
+    return this->caller_server.in_progress() + this->peer_server.in_progress();
+}
+
+void node_process::call_later(duration delay, std::function<void()> hook)
+{
+    this->drain_timer.expires_after(delay);
+    this->drain_timer.async_wait(
+        [hook = std::move(hook)](boost::system::error_code code)
+        {
+            if (!code)
+            {
+                hook();
+            }
+        });
+}
+
 void node_process::announce()
 {
-    this->stop.emplace();
-    this->stop->began = read_monotonic_clock();
-    this->stop->open = this->caller_server.in_progress();
+    const time_point now = read_monotonic_clock();
+    this->stop.plan.emplace(now, this->settings.stop_grace);
+    this->stop.open_at_signal = this->caller_server.in_progress();
     this->members.leave();
     this->job_work.leave();
-    this->drain_until = read_monotonic_clock() + this->settings.stop_grace -
-                        duration(drain_reserve);
-    this->drain_timer.expires_after(announce_time);
-    this->drain_timer.async_wait(
-        [this](boost::system::error_code)
+    // Copied, because a call that ends removes itself.
+    for (const auto& call : std::set(*this->open_calls))
+    {
+        call->on_stop_begun();
+    }
+    this->call_later(
+        this->stop.plan->announced_at() - now,
+        [this]
         {
             this->lifecycle.on_announced();
         });
@@ -551,41 +567,72 @@
 void node_process::drain()
 {
     this->caller_server.close_after_responses();
+    this->peer_server.close_after_responses();
     this->await_drained();
 }
 
 void node_process::await_drained()
 {
-    if (this->caller_server.in_progress() == 0 ||
-        read_monotonic_clock() >= this->drain_until)
+    const time_point now = read_monotonic_clock();
+    if (this->open_requests() == 0)
     {
-        this->report_drained();
         this->caller_server.stop_accepting();
+    }
+    if (this->open_requests() == 0 || now >= this->stop.plan->exits_at())
+    {
+        log_event(
+            event::drain_finished,
+            {{"ms", (now - this->stop.plan->signalled_at()).count() / 1000},
+             {"open_at_signal", this->stop.open_at_signal},
+             {"arrived", this->stop.arrived},
+             {"refused", this->stop.refused},
+             {"cut_off", this->stop.cut_off},
+             {"open", this->open_requests()}});
         this->lifecycle.on_drained();
         return;
     }
-    this->drain_timer.expires_after(drain_poll);
-    this->drain_timer.async_wait(
-        [this](boost::system::error_code)
+    if (now >= this->stop.plan->work_ends_at())
+    {
+        this->end_open_work();
+    }
+    this->call_later(
+        drain_poll,
+        [this]
         {
             this->await_drained();
         });
 }
 
-void node_process::report_drained()
+void node_process::end_open_work()
 {
-    for (const std::shared_ptr<online_call>& call : *this->open_calls)
+    // Calls know whether their requests have run, so they answer first; the
+    // answers are sent by their coroutines before the next poll.
+    const bool calls_were_open = !this->open_calls->empty();
+    for (const auto& call : std::set(*this->open_calls))
     {
-        call->record_cut_off();
+        call->on_stop_deadline();
     }
-    const stop_counts& counts = *this->stop;
-    log_event(
-        event::drain_finished,
-        {{"ms", (read_monotonic_clock() - counts.began).count() / 1000},
-         {"open_at_signal", counts.open},
-         {"admitted", counts.admitted},
-         {"open", this->caller_server.in_progress()},
-         {"unread", this->caller_server.unread_requests()}});
+    if (!calls_were_open)
+    {
+        this->caller_server.answer_unfinished();
+    }
+}
+
+void node_process::exit()
+{
+    if (this->caller_server.in_progress() == 0)
+    {
+        this->context.stop();
+        return;
+    }
+    this->end_open_work();
+    this->call_later(
+        drain_poll,
+        [this]
+        {
+            this->caller_server.answer_unfinished();
+            this->context.stop();
+        });
 }
 
 } // namespace chicory::node
--- a/servers/node/node_process.hpp
+++ b/servers/node/node_process.hpp
@@ -23,8 +23,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
-#include <optional>
 #include <set>
 
 namespace chicory::node
@@ -68,17 +68,21 @@
     void on_members_changed();
     void await_reload();
     bool is_ready() const;
+    std::size_t open_requests() const;
+    void call_later(duration delay, std::function<void()> hook);
     void announce();
     void drain();
     void await_drained();
-    /// Logs the requests that the stop cuts off and what happened to others
-    /// since it began.
-    void report_drained();
+    /// Ends the work in progress with answers, as the time for it is over.
+    void end_open_work();
+    /// Exits the process after the work that is still in progress was ended.
+    void exit();
 
     boost::asio::io_context& context;
     node_settings settings;
     std::uint64_t incarnation;
     metrics counters;
+    stop_state stop;
     platform::store_client store;
     fleet_state fleet;
     node_members members;
@@ -101,18 +105,9 @@
     stop_signals signals;
     boost::asio::signal_set reload_signals;
     boost::asio::steady_timer drain_timer;
-    time_point drain_until;
     /// Online requests in progress.
     std::shared_ptr<std::set<std::shared_ptr<online_call>>> open_calls =
         std::make_shared<std::set<std::shared_ptr<online_call>>>();
-    /// State at the stop signal, and what has been counted since then.
-    struct stop_counts
-    {
-        time_point began;
-        std::size_t open = 0;
-        std::int64_t admitted = 0;
-    };
-    std::optional<stop_counts> stop;
 };
 
 } // namespace chicory::node
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -154,8 +154,29 @@
     this->close_run();
 }
 
+void online_call::on_stop_begun()
+{
+    if (!this->may_begin_run())
+    {
+        // Has no effect on a run that has begun.
+        this->slot_request_cancellation.cancel();
+    }
+}
+
+void online_call::on_stop_deadline()
+{
+    this->stop_deadline_reached = true;
+    this->close_run();
+}
+
+bool online_call::may_begin_run() const
+{
+    return this->services.stop.admits(this->deadline);
+}
+
 void online_call::record_cut_off()
 {
+    ++this->services.stop.cut_off;
     this->services.counters.add("requests_cut_off_total");
     log_event(
         event::request_cut_off,
@@ -177,7 +198,8 @@
 
 bool online_call::is_aborted() const
 {
-    return this->caller_disconnected || this->deadline_reached;
+    return this->caller_disconnected || this->deadline_reached ||
+           this->stop_deadline_reached;
 }
 
 slot_requirements online_call::make_slot_requirements() const
@@ -235,6 +257,11 @@
         co_await this->reject_without_route();
         co_return step::done;
     }
+    if (!this->may_begin_run())
+    {
+        co_await this->refuse(duration::zero(), reason::draining);
+        co_return step::done;
+    }
     slot_requirements requirements = this->make_slot_requirements();
     const slot_result slot = co_await this->services.slots.acquire(
         std::move(requirements), this->slot_request_cancellation);
@@ -262,8 +289,15 @@
     }
     if (slot.kind == slot_result::result_kind::cancelled)
     {
-        this->deadline_reached =
-            this->deadline_reached || !this->caller_disconnected;
+        // A stop of this node also cancels the request for a slot; the next
+        // attempt then refuses the request.
+        this->deadline_reached = this->deadline_reached ||
+                                 (!this->is_aborted() && this->may_begin_run());
+        co_return step::retry;
+    }
+    if (!this->may_begin_run())
+    {
+        this->release(slot, serving::slot_outcome::cancelled);
         co_return step::retry;
     }
     log_event(
@@ -633,6 +667,15 @@
             {{"request", this->parameters.attempt_id}});
         co_return;
     }
+    if (this->stop_deadline_reached)
+    {
+        if (this->runs > 0 || this->head_sent)
+        {
+            this->record_cut_off();
+        }
+        co_await this->refuse(duration::zero(), reason::draining);
+        co_return;
+    }
     if (this->runs == 0)
     {
         co_await this->refuse(duration::zero(), reason::deadline_passed);
@@ -666,6 +709,7 @@
         co_return;
     }
     this->services.counters.count_refusal(why);
+    this->services.stop.refused += why == reason::draining ? 1 : 0;
     log_event(
         event::request_refused,
         {{"request", this->parameters.attempt_id},
--- a/servers/node/online_call.hpp
+++ b/servers/node/online_call.hpp
@@ -34,9 +34,13 @@
     /// Executes the request and responds to the caller.
     boost::asio::awaitable<void> run();
 
-    /// Records that this process closes the caller's connection before the
-    /// response is complete.
-    void record_cut_off();
+    /// Refuses the request if it waits for a slot and may outlast the stop of
+    /// this node, which has begun.
+    void on_stop_begun();
+
+    /// Ends the request with an answer, as the time for work in the stop of
+    /// this node is over.
+    void on_stop_deadline();
 
 private:
     enum class step
@@ -52,6 +56,10 @@
     void on_deadline();
     void close_run();
     bool is_aborted() const;
+    /// Returns whether a run that begins now ends before a stop of this node.
+    bool may_begin_run() const;
+    /// Records that this process ends the request after it may have run.
+    void record_cut_off();
     /// Applies the current configuration to the rest of the call. Returns
     /// false if it has no route for the request any more.
     bool update_route();
@@ -134,6 +142,7 @@
     bool head_sent = false;
     bool caller_disconnected = false;
     bool deadline_reached = false;
+    bool stop_deadline_reached = false;
 };
 
 } // namespace chicory::node
--- a/servers/node/run_services.hpp
+++ b/servers/node/run_services.hpp
@@ -6,6 +6,7 @@
 #include "servers/node/node_settings.hpp"
 #include "servers/node/runner_caller.hpp"
 #include "servers/node/slot_client.hpp"
+#include "servers/node/stop_state.hpp"
 
 namespace chicory::node
 {
@@ -19,6 +20,7 @@
     runner_caller& runners;
     metrics& counters;
     const response_size_limits& limits;
+    stop_state& stop;
 };
 
 } // namespace chicory::node
