Items: Run an item elsewhere after a success that is no stream

Report of other operators: a runner stops in the middle of its answer's head and closes; callers get a 200 with an empty or short body, framed as whole.

The case that failed: a head that is whole, promises a length and carries no stream, cut before its body.

Cause: a response with neither a stream nor a failure was released as a completed run, so that the runner stayed the best one, and the item did not exclude it.

Change: a success without a stream counts as a broken run of the runner; after any such response the item avoids that runner and its pauses grow.

--- a/servers/node/item_execution.cpp
+++ b/servers/node/item_execution.cpp
@@ -18,6 +18,7 @@
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr int status_ok = 200;
+constexpr int status_first_redirection = 300;
 constexpr int status_failed = 500;
 constexpr int status_impossible = 422;
 /// Run time of one token, by the engines' data sheets.
@@ -161,7 +162,7 @@
 
 asio::awaitable<void> item_execution::pause_before_retry()
 {
-    const duration delay = serving::choose_item_pause(this->closed_runs);
+    const duration delay = serving::choose_item_pause(this->fruitless_runs);
     co_await this->pause(std::max<duration>(retry_pause, delay));
 }
 
@@ -251,18 +252,14 @@
                           : to_slot_outcome(outcome));
         if (!ended_locally)
         {
-            this->avoided_runners.push_back(slot.runner);
-            if (this->avoided_runners.size() > max_avoided_runners)
-            {
-                this->avoided_runners.erase(this->avoided_runners.begin());
-            }
+            this->avoid_runner(slot.runner);
             log_event(
                 event::item_interrupted,
                 {{"job", this->job},
                  {"item", this->item.id},
                  {"runner", slot.runner},
                  {"error", outcome.failure}});
-            this->closed_runs += outcome.closed ? 1 : 0;
+            this->fruitless_runs += outcome.closed ? 1 : 0;
             co_await this->pause_before_retry();
         }
         co_return step::retry;
@@ -294,10 +291,17 @@
     // failed at another runner is no evidence against this one.
     const bool is_runner_failure =
         status >= status_failed && !std::exchange(this->has_failed_run, true);
-    this->services.slots.release(
-        slot.id,
-        is_runner_failure ? serving::slot_outcome::failed
-                          : serving::slot_outcome::completed);
+    serving::slot_outcome outcome = serving::slot_outcome::completed;
+    if (is_runner_failure)
+    {
+        outcome = serving::slot_outcome::failed;
+    }
+    else if (status < status_first_redirection)
+    {
+        // A success without a stream has no text of an item.
+        outcome = serving::slot_outcome::broken;
+    }
+    this->services.slots.release(slot.id, outcome);
     if (status == status_impossible)
     {
         co_return step::impossible;
@@ -311,11 +315,23 @@
         {{"job", this->job},
          {"item", this->item.id},
          {"runner", slot.runner},
-         {"error", "status " + std::to_string(status)}});
-    co_await this->pause(retry_pause);
+         {"error",
+          "expected a stream, found status " + std::to_string(status)}});
+    this->avoid_runner(slot.runner);
+    ++this->fruitless_runs;
+    co_await this->pause_before_retry();
     co_return step::retry;
 }
 
+void item_execution::avoid_runner(const std::string& runner)
+{
+    this->avoided_runners.push_back(runner);
+    if (this->avoided_runners.size() > max_avoided_runners)
+    {
+        this->avoided_runners.erase(this->avoided_runners.begin());
+    }
+}
+
 result<void> item_execution::check_limits()
 {
     const response_size_limits& limits = this->services.limits;
@@ -416,11 +432,11 @@
          {"error", ended_locally ? "yielded" : failure}});
     if (this->text.last_event_id() != last_id_before)
     {
-        this->closed_runs = 0;
+        this->fruitless_runs = 0;
     }
     else if (closed && !ended_locally)
     {
-        ++this->closed_runs;
+        ++this->fruitless_runs;
         co_await this->pause_before_retry();
     }
     co_return step::retry;
--- a/servers/node/item_execution.hpp
+++ b/servers/node/item_execution.hpp
@@ -90,6 +90,8 @@
     result<void> check_limits();
     boost::asio::awaitable<void> pause(duration length);
     boost::asio::awaitable<void> pause_before_retry();
+    /// Excludes a runner from the next runs of the item.
+    void avoid_runner(const std::string& runner);
 
     boost::asio::io_context& context;
     run_services services;
@@ -105,9 +107,9 @@
     /// saved piece, and the start of the current run.
     duration worked = duration::zero();
     std::optional<time_point> run_started;
-    /// Number of consecutive runs whose connection the runner closed without
-    /// progress.
-    int closed_runs = 0;
+    /// Number of consecutive runs without progress that the runner closed or
+    /// answered with something else than a stream.
+    int fruitless_runs = 0;
     /// Set while the item waits for its next run, so that `stop` can end the
     /// wait.
     boost::asio::steady_timer* pause_timer = nullptr;
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -22,6 +22,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -1134,6 +1135,116 @@
 
 // Guards against bytes in the middle of an answer that are passed on as if they
 // belonged to it, and against a second run of a request that may run once.
+/// First bytes of a response, after which a runner closes the connection.
+struct cut_response
+{
+    const char* name;
+    std::string bytes;
+};
+
+class cut_response_test : public scripted_runner_test,
+                          public ::testing::WithParamInterface<cut_response>
+{
+protected:
+    /// Starts three runners, the first of which cuts all its responses.
+    void start_with_a_cutting_runner()
+    {
+        this->start_with_runners(
+            3,
+            [this](const testing_support::scripted_request& request)
+            {
+                // The runner that gets the first request cuts all responses.
+                const bool cuts = this->cut_attempts.empty() ||
+                                  this->cutting_port == request.port;
+                if (!cuts)
+                {
+                    return testing_support::scripted_response{make_stream(
+                        request.attempt,
+                        request.after.empty() ? 1
+                                              : std::stoll(request.after) + 1)};
+                }
+                this->cutting_port = request.port;
+                this->cut_attempts.insert(request.attempt);
+                std::string bytes = this->GetParam().bytes;
+                const std::string id = "{id}";
+                if (const std::size_t at = bytes.find(id);
+                    at != std::string::npos)
+                {
+                    bytes.replace(at, id.size(), request.attempt);
+                }
+                return testing_support::scripted_response{bytes, "", true};
+            });
+    }
+
+    std::uint16_t cutting_port = 0;
+    std::set<std::string> cut_attempts;
+};
+
+// Guards against a response that breaks off in its head and is passed on as a
+// whole one with an empty or a short body, from one runner of several.
+TEST_P(cut_response_test, is_not_passed_on_as_whole)
+{
+    this->start_with_a_cutting_runner();
+    for (int number = 0; number < 8; ++number)
+    {
+        const std::string attempt = "t" + std::to_string(number);
+        const bool once = number % 2 == 1;
+        const net::http_response response =
+            this->post_request(once ? "/ask/1" : "/go-on/1", attempt, "");
+        if (once && this->cut_attempts.contains(attempt))
+        {
+            EXPECT_TRUE(this->response_incomplete || response.status == 502)
+                << response.status;
+            continue;
+        }
+        EXPECT_EQ(response.status, 200) << attempt;
+        EXPECT_EQ(response.body, make_events(1, 4)) << attempt;
+    }
+    EXPECT_FALSE(this->cut_attempts.empty());
+}
+
+TEST_P(cut_response_test, does_not_shorten_an_item)
+{
+    this->start_with_a_cutting_runner();
+    ASSERT_EQ(this->submit("j1"), 202);
+    this->wait_for_results("j1", 2);
+    this->expect_in_results("j1", "state", "completed");
+    this->expect_in_results("j1", "text", "text 1\ntext 2\ntext 3\ntext 4");
+    EXPECT_FALSE(this->cut_attempts.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    all,
+    cut_response_test,
+    ::testing::Values(
+        cut_response{"in_the_status_line", "HTTP/1.1 20"},
+        cut_response{"after_the_status_line", "HTTP/1.1 200 OK\r\n"},
+        cut_response{
+            "in_a_header", "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Resp"},
+        cut_response{
+            "before_the_blank_line",
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n"
+            "Content-Type: text/event-stream\r\n"},
+        cut_response{
+            "after_the_head",
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n"
+            "Content-Type: text/event-stream\r\n\r\n"},
+        cut_response{
+            "after_a_head_with_chunks",
+            make_head("200 OK", "{id}", stream_headers)},
+        cut_response{
+            "after_a_head_with_a_length",
+            make_head("200 OK", "{id}", "Content-Length: 40\r\n")},
+        cut_response{
+            "after_an_informational_head", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+        cut_response{
+            "in_a_head_after_an_informational_one",
+            "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-"}),
+    [](const auto& tested)
+    {
+        return std::string(tested.param.name);
+    });
+
 TEST_F(scripted_runner_test, a_refusal_within_a_stream_breaks_it_off)
 {
     this->start_with_runners(
--- a/tests/support/scripted_server.hpp
+++ b/tests/support/scripted_server.hpp
@@ -33,6 +33,8 @@
     std::string attempt;
     /// Value of the header `Last-Event-Id`; empty if there is none.
     std::string after;
+    /// Port of the server.
+    std::uint16_t port = 0;
 };
 
 /// Bytes that a scripted server writes in response to a request.
@@ -134,7 +136,8 @@
             const scripted_request request{
                 number,
                 find_value(head, "x-attempt-id"),
-                find_value(head, "last-event-id")};
+                find_value(head, "last-event-id"),
+                this->port()};
             this->requests.push_back(request);
             const scripted_response response = this->respond(request);
             co_await boost::asio::async_write(
