Stop: Tell callers of kept connections before these are closed

Cause, suspected from the code and not traced: 2.5 s after the signal idle connections are closed without a word. A caller that still uses the address can send its next request while the close is on its way.

Change: from 2 s after the signal on, when callers that refresh addresses have left, responses say Connection: close.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -728,6 +728,10 @@
 void http_server::close_after_responses()
 {
     this->shared->options->closing = true;
+}
+
+void http_server::close_idle_connections()
+{
     for (const std::shared_ptr<server_connection>& link :
          this->shared->connections)
     {
--- a/net/http_server.hpp
+++ b/net/http_server.hpp
@@ -109,11 +109,13 @@
     /// half a second are handled; later ones are refused with status 503.
     void stop_accepting();
 
-    /// Closes connections that are idle after a request, and each other one
-    /// after its next response. New connections are still accepted, for one
-    /// request each.
+    /// Closes each connection after its next response, which says so. New
+    /// connections are still accepted, for one request each.
     void close_after_responses();
 
+    /// Closes the connections that are idle after a request.
+    void close_idle_connections();
+
     /// Stops accepting and ends all requests at once. One without a response
     /// gets status 503 if it has not arrived whole, so that its handler has not
     /// begun to execute it, and 504 otherwise; responses that have begun are
--- a/policy/serving/stop_plan.cpp
+++ b/policy/serving/stop_plan.cpp
@@ -12,6 +12,7 @@
 /// Times of a stop with a long grace period; a shorter one is divided in the
 /// same proportions as `full_grace`.
 constexpr std::chrono::milliseconds full_grace(8000);
+constexpr std::chrono::milliseconds keep_connections_time(2000);
 constexpr std::chrono::milliseconds announce_time(2500);
 /// Time before the end of the grace period at which unfinished work is ended.
 constexpr std::chrono::milliseconds answer_reserve(400);
@@ -36,6 +37,11 @@
     return this->signalled;
 }
 
+time_point stop_plan::closes_connections_at() const
+{
+    return this->signalled + scale(keep_connections_time, this->grace);
+}
+
 time_point stop_plan::announced_at() const
 {
     return this->signalled + scale(announce_time, this->grace);
--- a/policy/serving/stop_plan.hpp
+++ b/policy/serving/stop_plan.hpp
@@ -20,8 +20,13 @@
     /// Returns the time of the stop signal.
     time_point signalled_at() const;
 
-    /// Returns the time until which idle connections are kept, so that callers
-    /// learn of the departure before their connections are closed.
+    /// Returns the time from which responses close their connections. Callers
+    /// that refresh the addresses they use have left by then; the others learn
+    /// of the departure from a response, not from a close that may cross their
+    /// next request.
+    time_point closes_connections_at() const;
+
+    /// Returns the time at which idle connections are closed.
     time_point announced_at() const;
 
     /// Returns the time at which unfinished work is ended with an answer.
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -557,17 +557,24 @@
         call->on_stop_begun();
     }
     this->call_later(
-        this->stop.plan->announced_at() - now,
+        this->stop.plan->closes_connections_at() - now,
         [this]
         {
-            this->lifecycle.on_announced();
+            this->caller_server.close_after_responses();
+            this->call_later(
+                this->stop.plan->announced_at() - read_monotonic_clock(),
+                [this]
+                {
+                    this->lifecycle.on_announced();
+                });
         });
 }
 
 void node_process::drain()
 {
-    this->caller_server.close_after_responses();
+    this->caller_server.close_idle_connections();
     this->peer_server.close_after_responses();
+    this->peer_server.close_idle_connections();
     this->await_drained();
 }
 
--- a/tests/net/http_failure_test.cpp
+++ b/tests/net/http_failure_test.cpp
@@ -253,6 +253,7 @@
         {
             this->context.poll_one();
             this->server->close_after_responses();
+            this->server->close_idle_connections();
             asio::steady_timer pause(this->context);
             pause.expires_after(std::chrono::milliseconds(1));
             co_await pause.async_wait(asio::use_awaitable);
--- a/tests/net/stop/server_stop_test.cpp
+++ b/tests/net/stop/server_stop_test.cpp
@@ -34,7 +34,7 @@
 
 enum class stop_kind
 {
-    close_after_responses,
+    close_idle_connections,
     stop_accepting,
 };
 
@@ -130,6 +130,7 @@
         else
         {
             this->server->close_after_responses();
+            this->server->close_idle_connections();
         }
     }
 
@@ -251,6 +252,24 @@
     EXPECT_TRUE(client.has_response());
 }
 
+// Guards against a close that crosses the next request of a caller that was
+// not told to use the connection no more.
+TEST_P(server_stop_test, a_kept_connection_is_told_before_it_is_closed)
+{
+    raw_client client(this->io, this->server->port());
+    client.write(request);
+    this->wait_for_response(client);
+    EXPECT_EQ(client.received.find("Connection: close"), std::string::npos);
+    this->server->close_after_responses();
+    this->run_steps(max_steps);
+    client.poll();
+    EXPECT_FALSE(client.failure) << client.failure.message();
+    client.received.clear();
+    client.write(request);
+    this->wait_for_response(client);
+    EXPECT_NE(client.received.find("Connection: close"), std::string::npos);
+}
+
 // Guards against a stop that takes a server for idle while the head of a
 // request is on its way.
 TEST_P(server_stop_test, a_request_whose_head_is_half_read_is_in_progress)
@@ -335,11 +354,11 @@
 std::string name_of_stop(const testing::TestParamInfo<stop_kind>& tested)
 {
     return tested.param == stop_kind::stop_accepting ? "stop_accepting"
-                                                     : "close_after_responses";
+                                                     : "close_idle_connections";
 }
 
 const auto all_stops = testing::Values(
-    stop_kind::close_after_responses, stop_kind::stop_accepting);
+    stop_kind::close_idle_connections, stop_kind::stop_accepting);
 
 INSTANTIATE_TEST_SUITE_P(all, server_stop_test, all_stops, name_of_stop);
 INSTANTIATE_TEST_SUITE_P(all, server_stop_step_test, all_stops, name_of_stop);
--- a/tests/policy/serving/stop_plan_test.cpp
+++ b/tests/policy/serving/stop_plan_test.cpp
@@ -20,6 +20,7 @@
 TEST(stop_plan, divides_the_grace_period)
 {
     const stop_plan plan(signal_time, 8s);
+    EXPECT_EQ(plan.closes_connections_at(), signal_time + 2s);
     EXPECT_EQ(plan.announced_at(), signal_time + 2500ms);
     EXPECT_EQ(plan.work_ends_at(), signal_time + 7600ms);
     EXPECT_EQ(plan.exits_at(), signal_time + 7800ms);
@@ -42,7 +43,8 @@
     const auto grace =
         std::chrono::milliseconds(*rc::gen::inRange<std::int64_t>(0, 600000));
     const stop_plan plan(signal_time, grace);
-    RC_ASSERT(plan.announced_at() >= signal_time);
+    RC_ASSERT(plan.closes_connections_at() >= signal_time);
+    RC_ASSERT(plan.announced_at() >= plan.closes_connections_at());
     RC_ASSERT(plan.work_ends_at() >= plan.announced_at());
     RC_ASSERT(plan.exits_at() >= plan.work_ends_at());
     RC_ASSERT(signal_time + duration(grace) >= plan.exits_at());
