--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -38,6 +38,8 @@
 /// response.
 constexpr std::chrono::seconds discard_limit(1);
 constexpr std::size_t max_discarded_bytes = std::size_t(1) << 20U;
+/// Largest number of connections that are accepted from a backlog at the end.
+constexpr int max_backlog = 4096;
 /// Time that callers have, after the listener was closed, to send a request
 /// whose connection is established or whose first bytes have arrived.
 constexpr std::chrono::milliseconds request_arrival_limit(500);
@@ -104,6 +106,7 @@
     {
         if (!this->busy)
         {
+            this->ending = true;
             beast::error_code ignored;
             this->stream.socket().cancel(ignored);
         }
@@ -115,6 +118,9 @@
     bool busy = false;
     /// True until the first bytes of the first request.
     bool fresh = true;
+    /// True while the coroutine has not found out whether a request arrived
+    /// before `stop_if_idle`.
+    bool ending = false;
     /// Exchange whose handler runs, or null.
     beast_exchange* exchange = nullptr;
 };
@@ -168,6 +174,7 @@
         }
         this->link->busy = true;
         this->link->fresh = false;
+        this->link->ending = false;
         this->link->stream.expires_after(this->options->limits.header);
         auto [code, count] = co_await http::async_read_header(
             this->link->stream, this->link->buffer, this->parser, as_result);
@@ -547,7 +554,7 @@
     {
         beast::error_code code;
         this->acceptor.non_blocking(true, code);
-        while (!code)
+        for (int accepted = 0; !code && accepted < max_backlog; ++accepted)
         {
             asio::ip::tcp::socket socket(this->executor);
             this->acceptor.accept(socket, code);
@@ -593,7 +600,7 @@
     }
 
     /// Returns the number of connections with a request, and, after a stop, of
-    /// those whose first request may be on its way.
+    /// those on which one may have arrived or may be on its way.
     std::size_t count_unfinished() const
     {
         return static_cast<std::size_t>(std::count_if(
@@ -601,7 +608,10 @@
             this->connections.end(),
             [this](const std::shared_ptr<server_connection>& link)
             {
-                return link->busy || (link->fresh && !this->options->accepting);
+                const bool is_answered =
+                    link->exchange != nullptr && link->exchange->is_abandoned();
+                return (link->busy && !is_answered) || link->ending ||
+                       (link->fresh && !this->options->accepting);
             }));
     }
 
--- a/net/http_server.hpp
+++ b/net/http_server.hpp
@@ -127,8 +127,9 @@
     void set_limits(const http_server_limits& limits);
 
     /// Returns the number of requests that have begun to arrive and whose
-    /// responses are not complete. After `stop_accepting` it includes new
-    /// connections whose first request may be on its way.
+    /// responses are not complete. It includes idle connections that are being
+    /// closed, until it is known that no request arrived before, and, after
+    /// `stop_accepting`, new ones whose first request may be on its way.
     std::size_t in_progress() const;
 
 private:
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -22,6 +22,8 @@
 /// Retry delay for callers of a node that has no configuration yet.
 constexpr std::chrono::milliseconds no_configuration_retry(500);
 constexpr std::chrono::milliseconds drain_poll(50);
+/// Polls after which the process exits although answers are not sent yet.
+constexpr int max_exit_polls = 3;
 /// Number of entry addresses in one response.
 constexpr std::size_t max_entry_addresses = 8;
 
@@ -612,14 +614,14 @@
 
 void node_process::end_open_work()
 {
-    // Calls know whether their requests have run, so they answer first; the
-    // answers are sent by their coroutines before the next poll.
-    const bool calls_were_open = !this->open_calls->empty();
+    // Copied, because a call that ends removes itself.
     for (const auto& call : std::set(*this->open_calls))
     {
         call->on_stop_deadline();
     }
-    if (!calls_were_open)
+    // Calls know whether their requests have run, so they answer first; their
+    // coroutines do so before the next poll.
+    if (std::exchange(this->calls_ended, true))
     {
         this->caller_server.answer_unfinished();
     }
@@ -627,7 +629,8 @@
 
 void node_process::exit()
 {
-    if (this->caller_server.in_progress() == 0)
+    if (this->caller_server.in_progress() == 0 ||
+        ++this->exit_polls > max_exit_polls)
     {
         this->context.stop();
         return;
@@ -637,8 +640,7 @@
         drain_poll,
         [this]
         {
-            this->caller_server.answer_unfinished();
-            this->context.stop();
+            this->exit();
         });
 }
 
--- a/servers/node/node_process.hpp
+++ b/servers/node/node_process.hpp
@@ -105,6 +105,9 @@
     stop_signals signals;
     boost::asio::signal_set reload_signals;
     boost::asio::steady_timer drain_timer;
+    /// True after `end_open_work` has ended the online requests.
+    bool calls_ended = false;
+    int exit_polls = 0;
     /// Online requests in progress.
     std::shared_ptr<std::set<std::shared_ptr<online_call>>> open_calls =
         std::make_shared<std::set<std::shared_ptr<online_call>>>();
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -297,7 +297,7 @@
     }
     if (!this->may_begin_run())
     {
-        this->release(slot, serving::slot_outcome::cancelled);
+        this->release(slot, serving::slot_outcome::unused);
         co_return step::retry;
     }
     log_event(
--- a/tests/net/stop/server_stop_test.cpp
+++ b/tests/net/stop/server_stop_test.cpp
@@ -270,6 +270,24 @@
     EXPECT_NE(client.received.find("Connection: close"), std::string::npos);
 }
 
+// Guards against a process that exits while a request is in its socket. The
+// stop and the exit may come in one step of the process.
+TEST_P(server_stop_test, a_request_that_is_not_read_yet_is_in_progress)
+{
+    raw_client client(this->io, this->server->port());
+    client.write(request);
+    this->wait_for_response(client);
+    this->run_steps(max_steps);
+    client.received.clear();
+    client.write(request);
+    this->stop();
+    EXPECT_EQ(this->server->in_progress(), 1U);
+    this->wait_for_response(client);
+    EXPECT_TRUE(client.has_response());
+    this->run_steps(max_steps);
+    EXPECT_EQ(this->server->in_progress(), 0U);
+}
+
 // Guards against a stop that takes a server for idle while the head of a
 // request is on its way.
 TEST_P(server_stop_test, a_request_whose_head_is_half_read_is_in_progress)
