--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -78,7 +78,7 @@
     beast::error_code code;
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, code);
     stream.expires_after(discard_limit);
-    std::string piece(read_size, '\0');
+    std::string piece(first_read_size, '\0');
     std::size_t discarded = 0;
     while (!code && discarded < max_discarded_bytes)
     {
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -224,7 +224,7 @@
            },
            [this]
            {
-               this->exit();
+               this->exit_when_answered();
            },
            [this]
            {
@@ -627,7 +627,7 @@
     }
 }
 
-void node_process::exit()
+void node_process::exit_when_answered()
 {
     if (this->caller_server.in_progress() == 0 ||
         ++this->exit_polls > max_exit_polls)
@@ -640,7 +640,7 @@
         drain_poll,
         [this]
         {
-            this->exit();
+            this->exit_when_answered();
         });
 }
 
--- a/servers/node/node_process.hpp
+++ b/servers/node/node_process.hpp
@@ -75,8 +75,9 @@
     void await_drained();
     /// Ends the work in progress with answers, as the time for it is over.
     void end_open_work();
-    /// Exits the process after the work that is still in progress was ended.
-    void exit();
+    /// Exits the process, after the work that is still in progress was ended
+    /// with answers.
+    void exit_when_answered();
 
     boost::asio::io_context& context;
     node_settings settings;
--- a/tests/servers/node/planned_stop_test.cpp
+++ b/tests/servers/node/planned_stop_test.cpp
@@ -92,6 +92,12 @@
     {
         this->store.put("op", "", "config", configuration);
         this->store.put("servers", "", "i-1", this->runner.entry("ready"));
+        this->start_process(grace_s);
+        this->wait_for_readiness(200);
+    }
+
+    void start_process(int grace_s)
+    {
         const std::filesystem::path settings = this->files / "node.toml";
         std::ofstream(settings)
             << make_node_settings(
@@ -104,7 +110,6 @@
             std::string(CHICORY_BINARY_DIR) + "/chicory-node",
             std::vector<std::string>{"--settings", settings.string()},
             (this->files / "node.log").string());
-        this->wait_for_readiness(200);
     }
 
     /// Stops the node and waits until it says so.
@@ -429,6 +434,36 @@
     this->wait_for_end();
 }
 
+// Guards against a stop that a node without a configuration does not complete.
+TEST_F(planned_stop_test, a_node_without_a_configuration_refuses_and_stops)
+{
+    this->start_process(4);
+    this->wait_for_readiness(503);
+    this->signal_stop();
+    const caller_outcome& outcome = this->post("/once/1", 1000);
+    this->wait_for_all();
+    this->expect_refused(outcome);
+}
+
+// Guards against a stop that was requested while the VM was frozen and cuts off
+// what was open before.
+TEST_F(planned_stop_test, a_stop_that_comes_during_a_freeze_completes_streams)
+{
+    this->start(8);
+    this->runner.events = 40;
+    this->runner.event_time = 15ms;
+    const caller_outcome& outcome = this->post("/once/1", 5000);
+    this->wait_for_head(outcome);
+    this->node->signal(SIGSTOP);
+    this->node->signal(SIGTERM);
+    this->io.run_for(200ms);
+    this->node->signal(SIGCONT);
+    this->wait_for_all();
+    EXPECT_EQ(outcome.status, 200);
+    EXPECT_TRUE(outcome.complete);
+    EXPECT_FALSE(this->is_in_log("request_cut_off"));
+}
+
 // Guards against a second signal that cuts off requests without an answer.
 TEST_F(planned_stop_test, a_second_signal_ends_open_requests_with_an_answer)
 {
