Jobs: Do not refuse a job in a stop that was accepted before

Callers would see: a job whose 202 was lost is sent again to a node that stops and gets a 503, which says that no part of it runs, while it runs.

Cause: the refusal of submissions that the store may not finish in time, new in this work, did not look whether the job is known. Found on reading the change.

Change: a known job gets its 202 as at any other time.

--- a/servers/node/job_api.cpp
+++ b/servers/node/job_api.cpp
@@ -65,7 +65,9 @@
             net::make_text_response(status_bad_request, why));
         co_return;
     }
-    if (!this->stop.admits(read_monotonic_clock() + duration(submission_limit)))
+    // A job that was accepted before must not be refused as not kept.
+    if (this->store.find(id) == nullptr &&
+        !this->stop.admits(read_monotonic_clock() + duration(submission_limit)))
     {
         log_event(
             event::job_refused,
--- a/tests/servers/node/planned_stop_test.cpp
+++ b/tests/servers/node/planned_stop_test.cpp
@@ -211,28 +211,33 @@
         outcome.done = true;
     }
 
-    const caller_outcome&
-    post(const std::string& target, int time_limit_ms, std::string body = "hi")
+    const caller_outcome& post(
+        const std::string& target,
+        int time_limit_ms,
+        std::string body = "hi",
+        const std::string& repeated = "")
     {
         net::http_request request;
         request.method = "POST";
         request.target = target;
         request.headers["host"] = "a.example";
         request.headers["x-attempt-id"] =
-            "t" + std::to_string(++this->attempts);
+            repeated.empty() ? "t" + std::to_string(++this->attempts)
+                             : repeated;
         request.headers["x-deadline-ms"] = std::to_string(time_limit_ms);
         request.headers["x-model"] = "m";
         request.body = std::move(body);
         return this->call(this->requests, std::move(request));
     }
 
-    const caller_outcome& submit_job()
+    const caller_outcome& submit_job(const std::string& repeated = "")
     {
         return this->post(
             "/jobs/x",
             5000,
             R"({"requests":[{"id":"a","path":"/jobs/x",)"
-            R"("headers":{"X-Model":"m"},"body":"aGk=","tokens":10}]})");
+            R"("headers":{"X-Model":"m"},"body":"aGk=","tokens":10}]})",
+            repeated);
     }
 
     void wait_for_head(const caller_outcome& outcome)
@@ -464,6 +469,22 @@
     EXPECT_FALSE(this->is_in_log("request_cut_off"));
 }
 
+// Guards against a refusal as not kept of a job that was accepted before.
+TEST_F(planned_stop_test, a_job_that_comes_again_is_not_refused)
+{
+    this->start(4);
+    this->runner.events = 100000;
+    const caller_outcome& first = this->submit_job();
+    this->wait_for_head(first);
+    ASSERT_EQ(first.status, 202);
+    this->signal_stop();
+    const caller_outcome& other = this->submit_job();
+    const caller_outcome& again = this->submit_job(first.attempt);
+    this->wait_for_all();
+    EXPECT_EQ(other.status, 503);
+    EXPECT_EQ(again.status, 202);
+}
+
 // Guards against a second signal that cuts off requests without an answer.
 TEST_F(planned_stop_test, a_second_signal_ends_open_requests_with_an_answer)
 {
