HTTP server: Keep the state alive before its coroutines have begun

Seen: net_stop_test under ASan, heap-use-after-free in accept_connections: a server that is destroyed before its first step. The coroutine took its reference at its first step.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -517,9 +517,10 @@
     /// Limits how long a stopped server waits for requests on their way.
     std::optional<asio::steady_timer> stop_timer;
 
-    asio::awaitable<void> accept_connections()
+    /// `self` keeps the state alive from before the first step on.
+    asio::awaitable<void>
+    accept_connections([[maybe_unused]] std::shared_ptr<state> self)
     {
-        const std::shared_ptr<state> self = this->shared_from_this();
         while (this->options->accepting)
         {
             auto [code, socket] =
@@ -544,7 +545,7 @@
         this->connections.insert(link);
         asio::co_spawn(
             this->executor,
-            this->shared_from_this()->serve(link),
+            this->serve(this->shared_from_this(), link),
             asio::detached);
     }
 
@@ -615,9 +616,9 @@
             }));
     }
 
-    asio::awaitable<void> serve(std::shared_ptr<server_connection> link)
+    asio::awaitable<void>
+    serve(std::shared_ptr<state> self, std::shared_ptr<server_connection> link)
     {
-        const std::shared_ptr<state> self = this->shared_from_this();
         bool keep_open = true;
         while (keep_open)
         {
@@ -706,7 +707,7 @@
     this->shared->options->accepting = true;
     asio::co_spawn(
         this->shared->executor,
-        this->shared->accept_connections(),
+        this->shared->accept_connections(this->shared),
         asio::detached);
     return boost::outcome_v2::success();
 }
