Configuration: Decode organisations, their keys and public routes

The configuration may name organisations with API keys, and routes that need no key. A request for a slot carries the name of its organisation, which is empty as long as keys are not checked.

--- a/policy/serving/serving_configuration.hpp
+++ b/policy/serving/serving_configuration.hpp
@@ -2,6 +2,7 @@
 #define CHICORY_POLICY_SERVING_SERVING_CONFIGURATION_HPP
 
 #include "core/core.hpp"
+#include "policy/serving/organisations.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -63,8 +64,10 @@
     /// given up.
     duration retention = std::chrono::hours(24);
     /// Batch: maximum number of tokens that may wait on the route; zero for no
-    /// limit.
+    /// limit. Where there are organisations, the limit applies to each of them.
     std::int64_t max_waiting_tokens = 0;
+    /// True if requests need no key, also where there are organisations.
+    bool is_public = false;
 
     bool operator==(const serving_route&) const = default;
 };
@@ -81,7 +84,7 @@
 };
 
 /// One version of the configuration: all routes, the slots of each service's
-/// runners, and the limits for callers.
+/// runners, the limits for callers, and the organisations with their keys.
 struct serving_configuration
 {
     std::int64_t version = 0;
@@ -89,6 +92,7 @@
     /// Number of requests that a runner of each service processes concurrently.
     std::map<std::string, std::int64_t> service_slots;
     caller_limits limits;
+    organisation_directory organisations;
 
     bool operator==(const serving_configuration&) const = default;
 };
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -503,6 +503,7 @@
         route,
         exchange,
         std::move(body.value()),
+        std::string(),
         arrived);
     this->stop.arrived += this->stop.plan ? 1 : 0;
     // Removes the call also when it ends with an exception. The set is shared,
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -39,11 +39,13 @@
     const serving::serving_route& initial_route,
     net::http_exchange& caller,
     std::string initial_body,
+    std::string initial_organisation,
     time_point received)
     : services(initial_services),
       configuration(std::move(initial_configuration)), route(&initial_route),
       was_repeatable(serving::is_repeatable(initial_route)), exchange(caller),
       body(std::move(initial_body)),
+      organisation(std::move(initial_organisation)),
       parameters(platform::parse_caller_parameters(caller.head().headers)),
       arrived(received), timer(io)
 {
@@ -213,6 +215,7 @@
     requirements.request_digest = this->digest;
     requirements.parts = this->parts;
     requirements.repeatable = this->may_run_again();
+    requirements.organisation = this->organisation;
     requirements.excluded = this->failed_runners;
     requirements.still_hold = [this, draw]
     {
--- a/servers/node/online_call.hpp
+++ b/servers/node/online_call.hpp
@@ -20,7 +20,8 @@
 {
 public:
     /// The configuration stays in use for the whole call and must contain
-    /// `initial_route`.
+    /// `initial_route`. `initial_organisation` is the name of the caller's
+    /// organisation; empty if it has none.
     online_call(
         boost::asio::io_context& io,
         run_services initial_services,
@@ -29,6 +30,7 @@
         const serving::serving_route& initial_route,
         net::http_exchange& caller,
         std::string initial_body,
+        std::string initial_organisation,
         time_point received);
 
     /// Executes the request and responds to the caller.
@@ -117,6 +119,8 @@
     bool was_repeatable;
     net::http_exchange& exchange;
     std::string body;
+    /// Name of the organisation of the caller; empty if there is none.
+    std::string organisation;
     platform::caller_parameters parameters;
     time_point arrived;
     time_point deadline;
--- a/servers/node/slot_client.hpp
+++ b/servers/node/slot_client.hpp
@@ -37,6 +37,8 @@
     /// Digests of the shared parts of the prompt.
     serving::part_digests parts;
     bool repeatable = false;
+    /// Name of the organisation of an online request; empty if there is none.
+    std::string organisation = {};
     /// Runners that must not be chosen.
     std::vector<std::string> excluded;
     /// Returns whether the requirements still hold. Called when the
