--- a/core/event.cpp
+++ b/core/event.cpp
@@ -60,6 +60,7 @@
         {trait_quarantined, "trait_quarantined", error, "Requests that have all of `companions` crashed runners and are refused for `time_left_ms`."},
         {trait_released, "trait_released", info, "Requests with a quarantined trait may run again: a run showed that it is good, or nothing used it for long."},
         {request_cut_off, "request_cut_off", warning, "This process ended a request that may have run before its response was complete."},
+        {access_refused, "access_refused", info, "A request or job call was refused for its API key, or because the keys known here may be out of date; `key` is the start of the digest of an unknown key."},
 
         {job_accepted, "job_accepted", info, "A batch job was accepted."},
         {job_refused, "job_refused", info, "A batch job was not accepted."},
@@ -92,6 +93,7 @@
         {runner_changed, "runner_changed", info, "The known state of a runner has changed."},
         {quarantine_record_rejected, "quarantine_record_rejected", error, "The record of a quarantine in the store cannot be read."},
         {store_row_rejected, "store_row_rejected", error, "A row in a response of the store has no name or version and is left out."},
+        {organisation_rejected, "organisation_rejected", warning, "An entry of the configuration's organisations, or a key, is not valid and was left out."},
 
         {order_lease_taken, "order_lease_taken", info, "This VM issues the orders of a pool."},
         {order_lease_lost, "order_lease_lost", warning, "This VM no longer issues the orders of a pool."},
--- a/core/event.hpp
+++ b/core/event.hpp
@@ -47,6 +47,7 @@
     trait_quarantined = 219,
     trait_released = 220,
     request_cut_off = 221,
+    access_refused = 230,
 
     // 300: batch jobs.
     job_accepted = 300,
@@ -82,6 +83,7 @@
     runner_changed = 506,
     quarantine_record_rejected = 507,
     store_row_rejected = 508,
+    organisation_rejected = 520,
 
     // 600: orders to engines.
     order_lease_taken = 600,
--- a/core/identifier.cpp
+++ b/core/identifier.cpp
@@ -53,6 +53,18 @@
     return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
 }
 
+std::array<std::uint8_t, 32> sha256(std::string_view bytes)
+{
+    // Fetched once, because a look-up by name on each call costs more than the
+    // digest of a short text.
+    static const EVP_MD* const algorithm =
+        EVP_MD_fetch(nullptr, "SHA256", nullptr);
+    std::array<std::uint8_t, 32> digest{};
+    EVP_Digest(
+        bytes.data(), bytes.size(), digest.data(), nullptr, algorithm, nullptr);
+    return digest;
+}
+
 std::string sha256_hex(std::string_view bytes)
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
--- a/core/identifier.hpp
+++ b/core/identifier.hpp
@@ -1,6 +1,7 @@
 #ifndef CHICORY_CORE_IDENTIFIER_HPP
 #define CHICORY_CORE_IDENTIFIER_HPP
 
+#include <array>
 #include <cstdint>
 #include <random>
 #include <string>
@@ -30,6 +31,9 @@
 /// Returns the seeded 64-bit XXH3 hash of the bytes.
 std::uint64_t hash_bytes(std::string_view bytes, std::uint64_t seed = 0);
 
+/// Returns the SHA-256 digest of the bytes.
+std::array<std::uint8_t, 32> sha256(std::string_view bytes);
+
 /// Returns the SHA-256 digest of the bytes in lower-case hexadecimal.
 std::string sha256_hex(std::string_view bytes);
 
--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <mutex>
 #include <sstream>
+#include <string>
 
 namespace chicory
 {
@@ -72,6 +73,24 @@
     }
 }
 
+/// Writes a text as the value of a label.
+void write_label(std::ostream& text, std::string_view value)
+{
+    for (const char letter : value)
+    {
+        if (letter == '\\' || letter == '"')
+        {
+            text << '\\';
+        }
+        if (letter == '\n')
+        {
+            text << "\\n";
+            continue;
+        }
+        text << letter;
+    }
+}
+
 } // namespace
 
 struct metrics::state
@@ -79,6 +98,9 @@
     mutable std::mutex mutex;
     std::array<std::int64_t, reason_names.size()> refusals{};
     std::array<std::int64_t, reason_names.size()> retries{};
+    /// Refusals by name of the organisation and by reason.
+    std::map<std::string, std::map<reason, std::int64_t>, std::less<>>
+        organisation_refusals;
     std::map<std::string, std::int64_t, std::less<>> counters;
     std::map<std::string, std::int64_t, std::less<>> gauges;
     std::map<std::string, latency_set, std::less<>> latencies;
@@ -96,6 +118,28 @@
     ++this->values->refusals.at(static_cast<std::size_t>(why));
 }
 
+void metrics::count_organisation_refusal(
+    std::string_view organisation, reason why)
+{
+    if (organisation.empty())
+    {
+        return;
+    }
+    const std::lock_guard<std::mutex> lock(this->values->mutex);
+    auto& refusals = this->values->organisation_refusals;
+    auto entry = refusals.find(organisation);
+    if (entry == refusals.end())
+    {
+        const bool is_full = refusals.size() >= max_organisations;
+        entry =
+            refusals
+                .try_emplace(
+                    is_full ? std::string("other") : std::string(organisation))
+                .first;
+    }
+    ++entry->second[why];
+}
+
 void metrics::count_retry(reason why)
 {
     const std::lock_guard<std::mutex> lock(this->values->mutex);
@@ -135,6 +179,19 @@
     std::ostringstream text;
     write_reasons(text, "chicory_refusals_total", this->values->refusals);
     write_reasons(text, "chicory_retries_total", this->values->retries);
+    if (!this->values->organisation_refusals.empty())
+    {
+        text << "# TYPE chicory_organisation_refusals_total counter\n";
+    }
+    for (const auto& [name, reasons] : this->values->organisation_refusals)
+    {
+        for (const auto& [why, count] : reasons)
+        {
+            text << "chicory_organisation_refusals_total{organisation=\"";
+            write_label(text, name);
+            text << "\",reason=\"" << name_of(why) << "\"} " << count << "\n";
+        }
+    }
     for (const auto& [name, value] : this->values->counters)
     {
         text << "# TYPE chicory_" << name << " counter\n";
--- a/core/metrics.hpp
+++ b/core/metrics.hpp
@@ -4,6 +4,7 @@
 #include "core/reason.hpp"
 #include "core/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -25,6 +26,14 @@
     /// Counts a refused request or job by reason.
     void count_refusal(reason why);
 
+    /// Counts a refused request or job of an organisation by reason, in
+    /// addition to `count_refusal`. The first `max_organisations` names get
+    /// counters of their own; the others share the name "other". Does nothing
+    /// for an empty name.
+    void count_organisation_refusal(std::string_view organisation, reason why);
+
+    static constexpr std::size_t max_organisations = 64;
+
     /// Counts a retried attempt by reason.
     void count_retry(reason why);
 
--- a/core/reason.hpp
+++ b/core/reason.hpp
@@ -59,9 +59,15 @@
     revision_conflict,
     stale_fencing_number,
     weight_store_limited,
+
+    // API keys.
+    missing_key,
+    unknown_key,
+    malformed_key,
+    credentials_stale,
 };
 
-inline constexpr enum_table<reason, 39> reason_names = {{
+inline constexpr enum_table<reason, 43> reason_names = {{
     {reason::invalid_request, "invalid_request"},
     {reason::body_too_large, "body_too_large"},
     {reason::unauthenticated, "unauthenticated"},
@@ -101,6 +107,10 @@
     {reason::revision_conflict, "revision_conflict"},
     {reason::stale_fencing_number, "stale_fencing_number"},
     {reason::weight_store_limited, "weight_store_limited"},
+    {reason::missing_key, "missing_key"},
+    {reason::unknown_key, "unknown_key"},
+    {reason::malformed_key, "malformed_key"},
+    {reason::credentials_stale, "credentials_stale"},
 }};
 
 /// Returns the name of a reason, such as "route_limit".
--- a/core/time.cpp
+++ b/core/time.cpp
@@ -1,5 +1,7 @@
 #include "core/time.hpp"
 
+#include <ctime>
+
 namespace chicory
 {
 
@@ -10,6 +12,17 @@
     return time_point(std::chrono::duration_cast<duration>(since_start));
 }
 
+boot_time_point read_boot_clock()
+{
+    std::timespec now{};
+    // Cannot fail: Linux has this clock since version 2.6.39.
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return boot_time_point(
+        std::chrono::seconds(now.tv_sec) +
+        std::chrono::duration_cast<duration>(
+            std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 std::int64_t read_wall_clock_ms()
 {
     const auto since_epoch =
--- a/policy/serving/job_record.cpp
+++ b/policy/serving/job_record.cpp
@@ -47,6 +47,10 @@
 {
     job_record job;
     job.route = to_string(fields.at("route"));
+    if (const json::value* name = fields.if_contains("organisation"))
+    {
+        job.organisation = to_string(*name);
+    }
     job.owner = to_string(fields.at("owner"));
     job.owner_incarnation =
         fields.at("owner_incarnation").to_number<std::uint64_t>();
@@ -104,7 +108,7 @@
     {
         failures.push_back(json::array{item, counts.failed, counts.impossible});
     }
-    return json::serialize(json::object{
+    json::object fields{
         {"route", job.route},
         {"owner", job.owner},
         {"owner_incarnation", job.owner_incarnation},
@@ -113,7 +117,14 @@
         {"ended", job.ended},
         {"tokens", to_json(job.tokens)},
         {"listed", std::move(listed)},
-        {"failures", std::move(failures)}});
+        {"failures", std::move(failures)}};
+    // Left out where there are no organisations, so that the record stays as
+    // earlier versions wrote it.
+    if (!job.organisation.empty())
+    {
+        fields["organisation"] = job.organisation;
+    }
+    return json::serialize(fields);
 }
 
 result<job_record>
--- a/policy/serving/job_record.hpp
+++ b/policy/serving/job_record.hpp
@@ -53,6 +53,8 @@
 {
     std::string id;
     std::string route;
+    /// Name of the organisation that submitted the job; empty if it has none.
+    std::string organisation;
     /// Node that runs the items, and the start of its process. This is only a
     /// hint: commits of a node that no longer owns the job fail.
     std::string owner;
--- a/policy/serving/organisations.cpp
+++ b/policy/serving/organisations.cpp
@@ -1,7 +1,5 @@
 #include "policy/serving/organisations.hpp"
 
-#include <openssl/sha.h>
-
 #include <algorithm>
 #include <cmath>
 #include <cstring>
@@ -93,15 +91,7 @@
     {
         return std::nullopt;
     }
-    key_digest digest{};
-    static_assert(std::tuple_size_v<key_digest> == SHA256_DIGEST_LENGTH);
-    // The one-shot function avoids the look-up of the algorithm that EVP makes
-    // on each call, since a configuration may have tens of thousands of keys.
-    SHA256(
-        reinterpret_cast<const unsigned char*>(key.data()),
-        key.size(),
-        digest.data());
-    return digest;
+    return sha256(key);
 }
 
 std::string abbreviate(const key_digest& digest)
@@ -153,6 +143,14 @@
             }
             continue;
         }
+        if (entry.invalid_values > 0)
+        {
+            made->add_problem(
+                "organisation " + entry.name + ": expected keys of 1 to " +
+                std::to_string(max_key_bytes) +
+                " bytes and an integer as priority, found " +
+                std::to_string(entry.invalid_values) + " other values");
+        }
         if (!is_valid_limit(entry.rate_per_s) || !is_valid_limit(entry.burst))
         {
             made->add_problem(
--- a/policy/serving/organisations.hpp
+++ b/policy/serving/organisations.hpp
@@ -43,6 +43,9 @@
     /// Requests that may exceed the rate at once.
     double burst = 0;
     std::vector<key_digest> keys;
+    /// Number of keys and other values that were left out when the entry was
+    /// decoded, because their type or length is not valid.
+    std::size_t invalid_values = 0;
 
     bool operator==(const organisation&) const = default;
 };
--- a/policy/serving/serving.hpp
+++ b/policy/serving/serving.hpp
@@ -4,6 +4,7 @@
 #ifndef CHICORY_POLICY_SERVING_SERVING_HPP
 #define CHICORY_POLICY_SERVING_SERVING_HPP
 
+#include "policy/serving/access.hpp"
 #include "policy/serving/coordinator_choice.hpp"
 #include "policy/serving/crash_guard.hpp"
 #include "policy/serving/event_splitter.hpp"
@@ -15,6 +16,7 @@
 #include "policy/serving/item_retry.hpp"
 #include "policy/serving/job_ownership.hpp"
 #include "policy/serving/job_record.hpp"
+#include "policy/serving/key_freshness.hpp"
 #include "policy/serving/organisations.hpp"
 #include "policy/serving/part_digests.hpp"
 #include "policy/serving/runner_directory.hpp"
--- a/servers/node/fleet_state.cpp
+++ b/servers/node/fleet_state.cpp
@@ -29,8 +29,9 @@
     boost::asio::io_context& io,
     ports::record_store& store,
     adopted_hook hook,
-    std::uint64_t seed)
-    : on_adopted(std::move(hook)),
+    std::uint64_t seed,
+    serving::key_freshness_settings freshness_settings)
+    : on_adopted(std::move(hook)), freshness(freshness_settings),
       configuration_watch(
           io,
           store,
@@ -46,7 +47,12 @@
            {
                this->apply_configuration(changed);
            },
-           [](bool) {}},
+           [](bool) {},
+           {},
+           [this](boot_time_point sent)
+           {
+               this->on_configuration_confirmed(sent);
+           }},
           seed),
       runner_watch(
           io,
@@ -100,9 +106,15 @@
     return this->current_text;
 }
 
-void fleet_state::offer_configuration(
+bool fleet_state::offer_configuration(
     const std::string& text, std::string_view source)
 {
+    if (this->current_configuration != nullptr && text == this->current_text)
+    {
+        // Other nodes send the same text several times a second while the store
+        // is not reached; decoding it each time would cost too much.
+        return true;
+    }
     result<serving::serving_configuration> read =
         platform::read_configuration(text);
     if (!read)
@@ -110,12 +122,12 @@
         log_event(
             event::configuration_rejected,
             {{"source", std::string(source)}, {"error", read.error().text}});
-        return;
+        return false;
     }
     if (this->current_configuration != nullptr &&
         this->current_configuration->version >= read.value().version)
     {
-        return;
+        return true;
     }
     this->current_configuration =
         std::make_shared<const serving::serving_configuration>(
@@ -126,17 +138,46 @@
         {{"revision", this->current_configuration->version},
          {"routes", this->current_configuration->routes.size()},
          {"source", std::string(source)}});
+    for (const std::string& problem :
+         this->current_configuration->organisations.problems())
+    {
+        log_event(
+            event::organisation_rejected,
+            {{"revision", this->current_configuration->version},
+             {"error", problem}});
+    }
     this->on_adopted(*this->current_configuration);
+    return true;
 }
 
 void fleet_state::apply_configuration(const ports::record& source)
 {
     if (source.key == platform::configuration_key && !source.deleted)
     {
-        this->offer_configuration(source.value, "store");
+        this->newest_is_unreadable =
+            !this->offer_configuration(source.value, "store");
+    }
+}
+
+void fleet_state::on_configuration_confirmed(boot_time_point sent)
+{
+    // A configuration that cannot be decoded may revoke keys.
+    if (!this->newest_is_unreadable)
+    {
+        this->freshness.on_confirmed(sent);
     }
 }
 
+bool fleet_state::keys_are_current() const
+{
+    return this->freshness.is_current(read_boot_clock());
+}
+
+std::optional<duration> fleet_state::key_age() const
+{
+    return this->freshness.age(read_boot_clock());
+}
+
 void fleet_state::apply_runner(const ports::record& changed)
 {
     const time_point now = read_monotonic_clock();
--- a/servers/node/fleet_state.hpp
+++ b/servers/node/fleet_state.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace chicory::node
@@ -29,7 +30,8 @@
         boost::asio::io_context& io,
         ports::record_store& store,
         adopted_hook hook,
-        std::uint64_t seed);
+        std::uint64_t seed,
+        serving::key_freshness_settings freshness_settings = {});
 
     /// Starts to watch the store for changes.
     void start();
@@ -47,7 +49,8 @@
 
     /// Adopts a configuration if its version is higher than the current one.
     /// `source` names its origin in log events.
-    void offer_configuration(const std::string& text, std::string_view source);
+    /// Returns false if the text cannot be decoded.
+    bool offer_configuration(const std::string& text, std::string_view source);
 
     /// Applies the record of a runner from another node if it is newer than the
     /// known record.
@@ -63,16 +66,29 @@
     /// to date, that is, whether the store responds.
     bool is_store_reached() const;
 
+    /// Returns whether the API keys of the current configuration may be relied
+    /// on. False while the newest configuration in the store cannot be decoded
+    /// for longer than the age limit, too.
+    bool keys_are_current() const;
+
+    /// Returns the time since the configuration was certainly the newest one in
+    /// the store, or nothing if it never was.
+    std::optional<duration> key_age() const;
+
 private:
     void apply_configuration(const ports::record& source);
     void apply_runner(const ports::record& changed);
     void apply_runner_snapshot(
         const std::vector<ports::record>& records, std::int64_t version);
     void on_store_contact(bool reached);
+    void on_configuration_confirmed(boot_time_point sent);
 
     adopted_hook on_adopted;
     std::shared_ptr<const serving::serving_configuration> current_configuration;
     std::string current_text;
+    serving::key_freshness freshness;
+    /// True while the newest configuration in the store cannot be decoded.
+    bool newest_is_unreadable = false;
     serving::runner_directory directory;
     std::map<std::string, ports::record> records;
     table_watch configuration_watch;
--- a/servers/node/item_execution.cpp
+++ b/servers/node/item_execution.cpp
@@ -45,11 +45,13 @@
     const platform::job_item& initial_item,
     std::string initial_job,
     std::string route_name,
+    std::string initial_organisation,
     std::string initial_service,
     time_point initial_accepted_at,
     const std::vector<serving::item_piece>& saved)
     : context(io), services(shared_services), item(initial_item),
       job(std::move(initial_job)), route(std::move(route_name)),
+      organisation(std::move(initial_organisation)),
       used_service(std::move(initial_service)),
       accepted_at(initial_accepted_at),
       output_tokens(platform::parse_caller_parameters(initial_item.headers)
@@ -179,6 +181,8 @@
     requirements.deadline = this->accepted_at + current.retention;
     requirements.expected_work = this->expected_work();
     requirements.repeatable = true;
+    requirements.priority = serving::choose_priority(
+        *this->services.fleet.configuration(), current, this->organisation);
     requirements.excluded = this->avoided_runners;
     requirements.still_hold = [this, current, draw]
     {
@@ -188,6 +192,16 @@
     return requirements;
 }
 
+std::optional<std::string> item_execution::find_shown_organisation() const
+{
+    if (this->organisation.empty() &&
+        !this->services.fleet.configuration()->organisations.is_active())
+    {
+        return std::nullopt;
+    }
+    return this->organisation;
+}
+
 asio::awaitable<item_execution::step> item_execution::run_once()
 {
     const std::shared_ptr<const serving::serving_route> found_route =
@@ -239,7 +253,11 @@
     runner_outcome outcome = co_await this->services.runners.send(
         slot.runner,
         platform::make_item_request(
-            this->item, host, slot.runner, this->text.last_event_id()),
+            this->item,
+            host,
+            slot.runner,
+            this->text.last_event_id(),
+            this->find_shown_organisation()),
         head_limit,
         cancellation);
     this->send_cancellation = nullptr;
--- a/servers/node/item_execution.hpp
+++ b/servers/node/item_execution.hpp
@@ -42,6 +42,7 @@
         const platform::job_item& initial_item,
         std::string initial_job,
         std::string route_name,
+        std::string initial_organisation,
         std::string initial_service,
         time_point initial_accepted_at,
         const std::vector<serving::item_piece>& saved);
@@ -82,6 +83,9 @@
     duration expected_work() const;
     slot_requirements
     make_slot_requirements(const serving::serving_route& current);
+    /// Returns the name that runners are told, or nothing if their headers are
+    /// not concerned with organisations.
+    std::optional<std::string> find_shown_organisation() const;
     boost::asio::awaitable<step> run_once();
     boost::asio::awaitable<step> handle_response(
         const slot_result& slot, std::unique_ptr<net::http_stream> response);
@@ -98,6 +102,8 @@
     const platform::job_item& item;
     std::string job;
     std::string route;
+    /// Organisation of the job; empty if it has none.
+    std::string organisation;
     std::string used_service;
     /// Time at which the item's job was accepted.
     time_point accepted_at;
--- a/servers/node/job_api.cpp
+++ b/servers/node/job_api.cpp
@@ -1,5 +1,7 @@
 #include "servers/node/job_api.hpp"
 
+#include "servers/node/access_refusal.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -35,12 +37,13 @@
 job_api::job_api(
     job_store& initial_store,
     job_runner& initial_runner,
+    const fleet_state& initial_fleet,
     metrics& initial_counters,
     const stop_state& initial_stop,
     std::string vm_id,
     std::function<std::uint64_t()> incarnation)
-    : store(initial_store), runner(initial_runner), counters(initial_counters),
-      stop(initial_stop), self(std::move(vm_id)),
+    : store(initial_store), runner(initial_runner), fleet(initial_fleet),
+      counters(initial_counters), stop(initial_stop), self(std::move(vm_id)),
       own_incarnation(std::move(incarnation))
 {
 }
@@ -52,6 +55,14 @@
 {
     const std::string id =
         platform::parse_caller_parameters(exchange.head().headers).attempt_id;
+    // Checked again, as the body may have taken long to arrive.
+    const serving::access_decision caller =
+        this->check_access(exchange, route.is_public);
+    if (caller.outcome != serving::access_outcome::granted)
+    {
+        co_await refuse_access(exchange, this->counters, route.name, caller);
+        co_return;
+    }
     result<std::vector<platform::job_item>> items =
         platform::read_submission(body);
     if (!platform::is_valid_name(id) || !items)
@@ -82,6 +93,7 @@
     serving::job_record job;
     job.id = id;
     job.route = route.name;
+    job.organisation = caller.organisation;
     job.owner = this->self;
     job.owner_incarnation = this->own_incarnation();
     for (const platform::job_item& item : items.value())
@@ -90,8 +102,11 @@
     }
     const std::uint64_t job_incarnation = job.owner_incarnation;
     const std::size_t count = items.value().size();
-    const submit_outcome outcome = co_await this->store.submit(
-        std::move(job), std::move(body), route.max_waiting_tokens);
+    const job_store::token_limit limit{
+        route.max_waiting_tokens,
+        this->fleet.configuration()->organisations.is_active()};
+    const submit_outcome outcome =
+        co_await this->store.submit(std::move(job), std::move(body), limit);
     if (outcome == submit_outcome::accepted)
     {
         const serving::job_record* known = this->store.find(id);
@@ -106,10 +121,24 @@
             net::make_text_response(status_accepted, "accepted"));
         co_return;
     }
+    if (outcome == submit_outcome::id_in_use)
+    {
+        this->counters.count_refusal(reason::key_in_use);
+        log_event(
+            event::job_refused,
+            {{"job", id},
+             {"reason", std::string(name_of(reason::key_in_use))},
+             {"organisation", caller.organisation},
+             {"certain", 1}});
+        co_await exchange.respond(net::make_text_response(
+            status_not_found, make_missing_job_error(id).text));
+        co_return;
+    }
     const reason why = outcome == submit_outcome::over_limit
                            ? reason::job_limit
                            : reason::table_service_unavailable;
     this->counters.count_refusal(why);
+    this->counters.count_organisation_refusal(caller.organisation, why);
     log_event(
         event::job_refused,
         {{"job", id},
@@ -141,20 +170,81 @@
             net::make_text_response(status_not_found, "no such job"));
         co_return;
     }
+    const serving::access_decision caller = this->check_access(exchange, false);
+    if (caller.outcome != serving::access_outcome::granted)
+    {
+        // Only a job of a public route is found without an accepted key.
+        bool is_public_job = false;
+        if (serving::has_public_jobs(*this->fleet.configuration()))
+        {
+            const result<serving::job_record> found =
+                co_await this->find_for(call.job, caller);
+            is_public_job = found.has_value();
+        }
+        if (!is_public_job)
+        {
+            const std::string no_route;
+            co_await refuse_access(exchange, this->counters, no_route, caller);
+            co_return;
+        }
+    }
     switch (call.kind)
     {
     case platform::job_call_kind::read_results:
-        co_await this->read_results(exchange, call);
+        co_await this->read_results(exchange, call, caller);
         break;
     case platform::job_call_kind::read_item:
-        co_await this->read_item(exchange, call);
+        co_await this->read_item(exchange, call, caller);
         break;
     case platform::job_call_kind::end_job:
-        co_await this->cancel(exchange, call);
+        co_await this->cancel(exchange, call, caller);
         break;
     }
 }
 
+serving::access_decision
+job_api::check_access(const net::http_exchange& exchange, bool is_public) const
+{
+    const serving::serving_configuration& configuration =
+        *this->fleet.configuration();
+    if (!configuration.organisations.is_active())
+    {
+        return {};
+    }
+    return serving::check_access(
+        configuration,
+        is_public,
+        platform::parse_caller_key(exchange.head().headers),
+        this->fleet.keys_are_current());
+}
+
+bool job_api::may_access(
+    const serving::job_record& job,
+    const serving::access_decision& caller) const
+{
+    return serving::may_access_job(*this->fleet.configuration(), job, caller);
+}
+
+asio::awaitable<result<serving::job_record>>
+job_api::find_for(std::string job, serving::access_decision caller)
+{
+    const serving::job_record* known = this->store.find(job);
+    if (known == nullptr)
+    {
+        result<serving::job_record> found = co_await this->store.look_up(job);
+        if (!found || this->may_access(found.value(), caller))
+        {
+            co_return found;
+        }
+        co_return make_missing_job_error(job);
+    }
+    if (!this->may_access(*known, caller))
+    {
+        co_return make_missing_job_error(job);
+    }
+    co_return *known;
+}
+
 asio::awaitable<void>
 job_api::respond_with_error(net::http_exchange& exchange, const error& failure)
 {
@@ -181,15 +271,16 @@
 }
 
 asio::awaitable<result<std::vector<std::string>>>
-job_api::find_item_ids(std::string job)
+job_api::find_item_ids(const serving::job_record& job)
 {
-    if (const auto known = this->item_ids.find(job);
+    std::pair<std::string, std::string> key(job.organisation, job.id);
+    if (const auto known = this->item_ids.find(key);
         known != this->item_ids.end())
     {
         co_return known->second;
     }
     const result<std::vector<platform::job_item>> items =
-        co_await this->find_items(job);
+        co_await this->find_items(key.second);
     if (!items)
     {
         co_return items.error();
@@ -203,7 +294,7 @@
     {
         this->item_ids.erase(this->item_ids.begin());
     }
-    this->item_ids[job] = ids;
+    this->item_ids[std::move(key)] = ids;
     co_return ids;
 }
 
@@ -228,7 +319,7 @@
         co_return;
     }
     const result<std::vector<std::string>> ids =
-        co_await this->find_item_ids(job.id);
+        co_await this->find_item_ids(job);
     if (!ids)
     {
         co_await this->respond_with_error(exchange, ids.error());
@@ -249,7 +340,9 @@
 }
 
 asio::awaitable<void> job_api::read_results(
-    net::http_exchange& exchange, const platform::job_call& call)
+    net::http_exchange& exchange,
+    const platform::job_call& call,
+    const serving::access_decision& caller)
 {
     const duration wait = std::min<duration>(
         platform::parse_caller_parameters(exchange.head().headers).poll_time,
@@ -257,7 +350,8 @@
     const serving::job_record* known = this->store.find(call.job);
     const std::size_t after = static_cast<std::size_t>(call.after);
     if (known != nullptr && known->listed.size() <= after &&
-        serving::is_open(*known) && wait > duration::zero() && !this->stop.plan)
+        serving::is_open(*known) && wait > duration::zero() &&
+        !this->stop.plan && this->may_access(*known, caller))
     {
         co_await this->store.wait_for_results(
             call.job, after, read_monotonic_clock() + wait);
@@ -267,6 +361,12 @@
         (known->listed.size() > after || this->store.is_fresh()))
     {
         const serving::job_record job = *known;
+        if (!this->may_access(job, caller))
+        {
+            co_await this->respond_with_error(
+                exchange, make_missing_job_error(call.job));
+            co_return;
+        }
         co_await this->respond_results(exchange, job, call.after);
         co_return;
     }
@@ -280,21 +380,26 @@
         co_return;
     }
     const serving::job_record& job = found.value();
+    if (!this->may_access(job, caller))
+    {
+        co_await this->respond_with_error(
+            exchange, make_missing_job_error(call.job));
+        co_return;
+    }
     co_await this->respond_results(exchange, job, call.after);
 }
 
-asio::awaitable<void>
-job_api::read_item(net::http_exchange& exchange, const platform::job_call& call)
+asio::awaitable<void> job_api::read_item(
+    net::http_exchange& exchange,
+    const platform::job_call& call,
+    const serving::access_decision& caller)
 {
-    if (this->store.find(call.job) == nullptr)
+    const result<serving::job_record> found =
+        co_await this->find_for(call.job, caller);
+    if (!found)
     {
-        const result<serving::job_record> found =
-            co_await this->store.look_up(call.job);
-        if (!found)
-        {
-            co_await this->respond_with_error(exchange, found.error());
-            co_return;
-        }
+        co_await this->respond_with_error(exchange, found.error());
+        co_return;
     }
     const result<std::vector<platform::job_item>> items =
         co_await this->find_items(call.job);
@@ -318,13 +423,16 @@
         net::make_text_response(status_not_found, "no such item"));
 }
 
-asio::awaitable<void>
-job_api::cancel(net::http_exchange& exchange, const platform::job_call& call)
+asio::awaitable<void> job_api::cancel(
+    net::http_exchange& exchange,
+    const platform::job_call& call,
+    const serving::access_decision& caller)
 {
     job_store::change_function cancel_job =
-        [](const serving::job_record& record) -> std::optional<job_change>
+        [this,
+         caller](const serving::job_record& record) -> std::optional<job_change>
     {
-        if (record.ended)
+        if (record.ended || !this->may_access(record, caller))
         {
             return std::nullopt;
         }
@@ -345,6 +453,12 @@
         co_await this->respond_with_error(exchange, changed.error());
         co_return;
     }
+    if (!this->may_access(changed.value(), caller))
+    {
+        co_await this->respond_with_error(
+            exchange, make_missing_job_error(call.job));
+        co_return;
+    }
     log_event(event::job_cancelled, {{"job", call.job}});
     co_await exchange.respond(net::make_text_response(200, "ended"));
 }
--- a/servers/node/job_api.hpp
+++ b/servers/node/job_api.hpp
@@ -3,6 +3,7 @@
 
 #include "net/net.hpp"
 #include "platform/platform.hpp"
+#include "servers/node/fleet_state.hpp"
 #include "servers/node/job_runner.hpp"
 #include "servers/node/job_store.hpp"
 #include "servers/node/stop_state.hpp"
@@ -13,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chicory::node
@@ -25,6 +27,7 @@
     job_api(
         job_store& initial_store,
         job_runner& initial_runner,
+        const fleet_state& initial_fleet,
         metrics& counters,
         const stop_state& initial_stop,
         std::string vm_id,
@@ -41,12 +44,29 @@
     handle_call(net::http_exchange& exchange, platform::job_call call);
 
 private:
-    boost::asio::awaitable<void>
-    read_results(net::http_exchange& exchange, const platform::job_call& call);
-    boost::asio::awaitable<void>
-    read_item(net::http_exchange& exchange, const platform::job_call& call);
-    boost::asio::awaitable<void>
-    cancel(net::http_exchange& exchange, const platform::job_call& call);
+    boost::asio::awaitable<void> read_results(
+        net::http_exchange& exchange,
+        const platform::job_call& call,
+        const serving::access_decision& caller);
+    boost::asio::awaitable<void> read_item(
+        net::http_exchange& exchange,
+        const platform::job_call& call,
+        const serving::access_decision& caller);
+    boost::asio::awaitable<void> cancel(
+        net::http_exchange& exchange,
+        const platform::job_call& call,
+        const serving::access_decision& caller);
+    /// Checks the caller's key for a request on a route.
+    serving::access_decision
+    check_access(const net::http_exchange& exchange, bool is_public) const;
+    bool may_access(
+        const serving::job_record& job,
+        const serving::access_decision& caller) const;
+    /// Returns a job if the caller may learn of it. Errors: not_found if the
+    /// job does not exist or the caller may not learn of it, with the same
+    /// text; unavailable, timeout.
+    boost::asio::awaitable<result<serving::job_record>>
+    find_for(std::string job, serving::access_decision caller);
     boost::asio::awaitable<void>
     respond_with_error(net::http_exchange& exchange, const error& failure);
     /// Returns a job's items in order. Errors: unavailable, not_found.
@@ -54,7 +74,7 @@
     find_items(std::string job);
     /// Returns the ids of a job's items in order.
     boost::asio::awaitable<result<std::vector<std::string>>>
-    find_item_ids(std::string job);
+    find_item_ids(const serving::job_record& job);
     boost::asio::awaitable<void> respond_results(
         net::http_exchange& exchange,
         const serving::job_record& job,
@@ -62,7 +82,10 @@
 
     job_store& store;
     job_runner& runner;
-    std::map<std::string, std::vector<std::string>> item_ids;
+    const fleet_state& fleet;
+    /// Ids of the items of jobs, by organisation and id of the job.
+    std::map<std::pair<std::string, std::string>, std::vector<std::string>>
+        item_ids;
     metrics& counters;
     const stop_state& stop;
     std::string self;
--- a/servers/node/job_records.cpp
+++ b/servers/node/job_records.cpp
@@ -26,6 +26,11 @@
 
 } // namespace
 
+error make_missing_job_error(const std::string& id)
+{
+    return make_error(error_kind::not_found, "there is no job " + id);
+}
+
 std::string make_partition(const std::string& route)
 {
     std::array<char, 24> name{};
@@ -37,9 +42,13 @@
     return name.data();
 }
 
-std::string make_object_name(const std::string& id)
+std::string make_object_name(const serving::job_record& job)
 {
-    return "job-" + id;
+    if (job.organisation.empty())
+    {
+        return "job-" + job.id;
+    }
+    return "org-" + sha256_hex(job.organisation) + "-" + job.id;
 }
 
 ports::record_range make_part_range(
--- a/servers/node/job_records.hpp
+++ b/servers/node/job_records.hpp
@@ -28,11 +28,17 @@
 /// can have this id.
 inline constexpr std::string_view limit_key = "/limit";
 
+/// Returns the error of a call about a job that does not exist, or that the
+/// caller may not learn of.
+error make_missing_job_error(const std::string& id);
+
 /// Returns the partition that holds the jobs of a route.
 std::string make_partition(const std::string& route);
 
-/// Returns the name of the object that holds a large submission.
-std::string make_object_name(const std::string& id);
+/// Returns the name of the object that holds a large submission. Two
+/// organisations that submit jobs under the same id use different objects,
+/// because an object may be stored before it is known who has the id.
+std::string make_object_name(const serving::job_record& job);
 
 /// Returns the range of a job's records in a table, from the text at a position
 /// on. A submission is the text at position zero.
--- a/servers/node/job_runner.cpp
+++ b/servers/node/job_runner.cpp
@@ -258,6 +258,7 @@
     }
     const auto job = std::make_shared<active_job>();
     job->id = id;
+    job->organisation = record->organisation;
     job->items = std::move(items);
     job->failures = record->failures;
     job->saved = std::move(saved);
@@ -423,6 +424,7 @@
         job->items.at(static_cast<std::size_t>(item)),
         job->id,
         route.name,
+        job->organisation,
         service,
         accepted_at,
         job->saved[item]);
--- a/servers/node/job_runner.hpp
+++ b/servers/node/job_runner.hpp
@@ -66,6 +66,7 @@
     struct active_job
     {
         std::string id;
+        std::string organisation;
         std::vector<platform::job_item> items;
         std::map<std::int64_t, std::shared_ptr<item_execution>> executions;
         /// Failures of items, including those before this node took over the
--- a/servers/node/job_store.cpp
+++ b/servers/node/job_store.cpp
@@ -40,9 +40,12 @@
 /// Maximum size of the texts that a node caches for reads.
 constexpr std::size_t max_cached_bytes = 32 << 20;
 
-error make_missing_error(const std::string& id)
+/// Returns the key of a job in the cache of texts. It contains the partition,
+/// because another organisation may use the id of a forgotten job on another
+/// route.
+std::string make_cache_key(const std::string& partition, const std::string& id)
 {
-    return make_error(error_kind::not_found, "there is no job " + id);
+    return partition + "/" + id;
 }
 
 } // namespace
@@ -88,9 +91,10 @@
           {awaited_coalesce_delay, idle_coalesce_delay}),
       texts(
           max_cached_bytes,
-          [this](const std::string& id)
+          [this](const std::string& key)
           {
-              const serving::job_record* job = this->find(id);
+              const serving::job_record* job =
+                  this->find(key.substr(key.find('/') + 1));
               return job == nullptr ? 0 : job->accepted_ms;
           })
 {
@@ -251,9 +255,29 @@
     }
 }
 
-asio::awaitable<submit_outcome> job_store::submit(
-    serving::job_record job, std::string body, std::int64_t max_waiting_tokens)
+std::optional<submit_outcome>
+job_store::find_submitted(const serving::job_record& job) const
+{
+    const serving::job_record* known = this->find(job.id);
+    if (known == nullptr)
+    {
+        return std::nullopt;
+    }
+    return known->organisation == job.organisation ? submit_outcome::accepted
+                                                   : submit_outcome::id_in_use;
+}
+
+asio::awaitable<submit_outcome>
+job_store::submit(serving::job_record job, std::string body, token_limit limit)
 {
+    if (const std::optional<submit_outcome> known = this->find_submitted(job);
+        known == submit_outcome::id_in_use)
+    {
+        co_return *known;
+    }
+    const std::optional<std::string> limited_organisation =
+        limit.per_organisation ? std::optional(job.organisation) : std::nullopt;
+    const std::int64_t max_waiting_tokens = limit.max_tokens;
     const std::string partition = make_partition(job.route);
     const time_point started = read_monotonic_clock();
     asio::steady_timer timer(this->context);
@@ -261,7 +285,7 @@
     if (body.size() > max_body_bytes)
     {
         const result<void> stored =
-            co_await this->objects.put(make_object_name(job.id), body);
+            co_await this->objects.put(make_object_name(job), body);
         if (!stored)
         {
             co_return submit_outcome::unavailable;
@@ -276,9 +300,10 @@
     bool may_exist = false;
     while (true)
     {
-        if (this->find(job.id) != nullptr)
+        if (const std::optional<submit_outcome> known =
+                this->find_submitted(job))
         {
-            co_return submit_outcome::accepted;
+            co_return *known;
         }
         const result<std::int64_t> store_now_ms = co_await this->wait_for_clock(
             partition, job.id, started + duration(refused_submit_limit));
@@ -297,7 +322,7 @@
         if (max_waiting_tokens > 0)
         {
             const std::int64_t waiting_tokens =
-                this->view.waiting_tokens_in(partition) +
+                this->view.waiting_tokens_in(partition, limited_organisation) +
                 serving::waiting_tokens(job);
             if (waiting_tokens > max_waiting_tokens && !may_exist)
             {
@@ -336,9 +361,10 @@
                 }
                 this->view.apply(found);
             }
-            if (this->find(job.id) != nullptr)
+            if (const std::optional<submit_outcome> known =
+                    this->find_submitted(job))
             {
-                co_return submit_outcome::accepted;
+                co_return *known;
             }
             static_cast<void>(
                 co_await this->wait_for_version(partition, newest_limit));
@@ -400,7 +426,7 @@
             co_return partition;
         }
     }
-    co_return make_missing_error(id);
+    co_return make_missing_job_error(id);
 }
 
 asio::awaitable<result<serving::job_record>> job_store::look_up(std::string id)
@@ -419,7 +445,7 @@
     }
     if (!found.value())
     {
-        co_return make_missing_error(id);
+        co_return make_missing_job_error(id);
     }
     this->view.apply(*found.value());
     const serving::job_record* known = this->find(id);
@@ -530,7 +556,7 @@
     const known_job* known = this->view.find(id);
     if (known == nullptr)
     {
-        co_return make_missing_error(id);
+        co_return make_missing_job_error(id);
     }
     ports::record_range range =
         make_part_range(piece_table, known->partition, id, 0);
@@ -574,7 +600,7 @@
     const known_job* known = this->view.find(id);
     if (known == nullptr)
     {
-        co_return make_missing_error(id);
+        co_return make_missing_job_error(id);
     }
     ports::record_transaction request;
     request.partition = known->partition;
@@ -609,7 +635,11 @@
 void job_store::cache_text(
     const std::string& id, std::int64_t position, std::string text)
 {
-    this->texts.insert(id, position, std::move(text));
+    if (const known_job* known = this->view.find(id))
+    {
+        this->texts.insert(
+            make_cache_key(known->partition, id), position, std::move(text));
+    }
 }
 
 asio::awaitable<result<std::vector<std::string>>> job_store::load_texts(
@@ -639,7 +669,8 @@
             break;
         }
         loaded.push_back(*text);
-        this->cache_text(job.id, at, std::move(*text));
+        this->texts.insert(
+            make_cache_key(partition, job.id), at, std::move(*text));
     }
     co_return loaded;
 }
@@ -654,6 +685,7 @@
     }
     const serving::job_record job = known.value().record;
     const std::string partition = known.value().partition;
+    const std::string cache_key = make_cache_key(partition, id);
     std::vector<std::string> found;
     std::size_t bytes = 0;
     // Texts of the last read, from this position on.
@@ -670,7 +702,8 @@
             return position >= loaded_from &&
                    position - loaded_from < loaded.size();
         };
-        if (!is_empty && !is_loaded() && this->texts.find(id, at) == nullptr)
+        if (!is_empty && !is_loaded() &&
+            this->texts.find(cache_key, at) == nullptr)
         {
             result<std::vector<std::string>> read =
                 co_await this->load_texts(job, partition, position);
@@ -682,7 +715,8 @@
             loaded_from = position;
         }
         const std::string empty;
-        const std::string* text = is_empty ? &empty : this->texts.find(id, at);
+        const std::string* text =
+            is_empty ? &empty : this->texts.find(cache_key, at);
         if (text == nullptr && is_loaded())
         {
             text = &loaded[position - loaded_from];
@@ -718,7 +752,8 @@
     const std::int64_t parts = known.value().record.body_records;
     if (parts == 0)
     {
-        co_return co_await this->objects.get(make_object_name(id));
+        co_return co_await this->objects.get(
+            make_object_name(known.value().record));
     }
     ports::record_range range =
         make_part_range(body_table, known.value().partition, id, 0);
--- a/servers/node/job_store.hpp
+++ b/servers/node/job_store.hpp
@@ -35,6 +35,8 @@
     unavailable,
     /// The job may or may not have been stored.
     unknown,
+    /// A job of another organisation has the id; nothing was stored.
+    id_in_use,
 };
 
 /// A change of a job: its new record, and further records to write in the same
@@ -72,13 +74,20 @@
     /// Sets the callback that runs after each change of the view.
     void set_change_hook(std::function<void()> hook);
 
-    /// Stores a job. A job that is stored already is accepted again.
-    /// `max_waiting_tokens` limits the tokens that wait on the job's route;
-    /// zero means no limit.
-    boost::asio::awaitable<submit_outcome> submit(
-        serving::job_record job,
-        std::string body,
-        std::int64_t max_waiting_tokens);
+    /// Limit of the tokens that wait on a route.
+    struct token_limit
+    {
+        /// Zero means no limit.
+        std::int64_t max_tokens = 0;
+        /// True if the limit applies to the jobs of each organisation, false if
+        /// it applies to all jobs of the route.
+        bool per_organisation = false;
+    };
+
+    /// Stores a job. A job that the same organisation has stored already is
+    /// accepted again.
+    boost::asio::awaitable<submit_outcome>
+    submit(serving::job_record job, std::string body, token_limit limit);
 
     /// Returns the job in the view, or null.
     const serving::job_record* find(const std::string& id) const;
@@ -144,6 +153,10 @@
     wait_for_results(std::string id, std::size_t count, time_point until);
 
 private:
+    /// Returns the outcome of the submission of a job whose id is known;
+    /// nothing if it is not known.
+    std::optional<submit_outcome>
+    find_submitted(const serving::job_record& job) const;
     void notify(const std::string& id);
     void notify_change();
     bool may_forget(const serving::job_record& job) const;
--- a/servers/node/job_view.cpp
+++ b/servers/node/job_view.cpp
@@ -99,12 +99,15 @@
     return listed;
 }
 
-std::int64_t job_view::waiting_tokens_in(const std::string& partition) const
+std::int64_t job_view::waiting_tokens_in(
+    const std::string& partition,
+    const std::optional<std::string>& organisation) const
 {
     std::int64_t sum = 0;
     for (const auto& [id, known] : this->jobs)
     {
-        if (known.partition == partition)
+        if (known.partition == partition &&
+            (!organisation || known.record.organisation == *organisation))
         {
             sum += serving::waiting_tokens(known.record);
         }
--- a/servers/node/job_view.hpp
+++ b/servers/node/job_view.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,8 +50,11 @@
 
     std::vector<const serving::job_record*> all() const;
 
-    /// Returns the number of tokens that wait in a partition.
-    std::int64_t waiting_tokens_in(const std::string& partition) const;
+    /// Returns the number of tokens that wait in a partition, of the jobs of
+    /// one organisation or, if none is stated, of all jobs.
+    std::int64_t waiting_tokens_in(
+        const std::string& partition,
+        const std::optional<std::string>& organisation) const;
 
     /// Returns the latest known version of the record that serialises
     /// acceptance in a partition, or zero when none is known.
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -1,5 +1,7 @@
 #include "servers/node/node_process.hpp"
 
+#include "servers/node/access_refusal.hpp"
+
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -73,7 +75,8 @@
           {
               this->on_adopted(configuration);
           },
-          this->incarnation),
+          this->incarnation,
+          this->settings.key_freshness),
       members(
           io,
           this->settings,
@@ -176,6 +179,7 @@
       job_calls(
           this->jobs,
           this->job_work,
+          this->fleet,
           this->counters,
           this->stop,
           this->settings.vm_id,
@@ -381,6 +385,14 @@
     this->counters.set(
         "configuration_revision",
         configuration == nullptr ? 0 : configuration->version);
+    if (configuration != nullptr && configuration->organisations.is_active())
+    {
+        const std::optional<duration> age = this->fleet.key_age();
+        this->counters.set(
+            "key_information_age_ms", age ? age->count() / 1000 : -1);
+        this->counters.set(
+            "key_information_current", this->fleet.keys_are_current() ? 1 : 0);
+    }
     std::int64_t online = 0;
     std::int64_t batch = 0;
     std::int64_t waiting = 0;
@@ -438,12 +450,31 @@
             status_not_found, "no route for this host and path"));
         co_return;
     }
+    serving::access_decision access;
+    if (configuration->organisations.is_active())
+    {
+        access = serving::check_access(
+            *configuration,
+            route->is_public,
+            platform::parse_caller_key(exchange.head().headers),
+            this->fleet.keys_are_current());
+    }
+    if (access.outcome != serving::access_outcome::granted)
+    {
+        co_await refuse_access(exchange, this->counters, route->name, access);
+        co_return;
+    }
     if (route->kind == serving::route_kind::batch)
     {
         co_await this->serve_submission(exchange, configuration, *route);
         co_return;
     }
-    co_await this->serve_online(exchange, configuration, *route, arrived);
+    co_await this->serve_online(
+        exchange,
+        configuration,
+        *route,
+        std::move(access.organisation),
+        arrived);
 }
 
 asio::awaitable<result<std::string>> node_process::read_caller_body(
@@ -478,6 +509,7 @@
     net::http_exchange& exchange,
     std::shared_ptr<const serving::serving_configuration> configuration,
     const serving::serving_route& route,
+    std::string organisation,
     time_point arrived)
 {
     result<std::string> body =
@@ -503,7 +535,7 @@
         route,
         exchange,
         std::move(body.value()),
-        std::string(),
+        std::move(organisation),
         arrived);
     this->stop.arrived += this->stop.plan ? 1 : 0;
     // Removes the call also when it ends with an exception. The set is shared,
--- a/servers/node/node_process.hpp
+++ b/servers/node/node_process.hpp
@@ -53,6 +53,7 @@
         net::http_exchange& exchange,
         std::shared_ptr<const serving::serving_configuration> configuration,
         const serving::serving_route& route,
+        std::string organisation,
         time_point arrived);
     boost::asio::awaitable<void> serve_submission(
         net::http_exchange& exchange,
--- a/servers/node/node_settings.cpp
+++ b/servers/node/node_settings.cpp
@@ -15,6 +15,7 @@
 constexpr std::int64_t max_seconds = 86400;
 constexpr std::int64_t max_record_bytes = 1 << 20;
 constexpr std::int64_t default_record_bytes = 65536;
+constexpr std::int64_t default_revocation_ms = 5000;
 
 constexpr enum_table<severity, 4> level_names = {{
     {severity::debug, "debug"},
@@ -119,6 +120,14 @@
     settings.result_lifetime =
         read_seconds(reader, "times.result_lifetime_s", 120);
     settings.bounds = read_response_limits(reader);
+    settings.key_freshness.fail_closed =
+        reader.optional_bool("access.fail_closed", false);
+    settings.key_freshness.revocation_limit =
+        std::chrono::milliseconds(reader.optional_integer(
+            "access.revocation_limit_ms",
+            default_revocation_ms,
+            1,
+            max_seconds * 1000));
     settings.log_level = read_level(reader);
     if (const result<void> checked = reader.finish(); !checked)
     {
--- a/servers/node/node_settings.hpp
+++ b/servers/node/node_settings.hpp
@@ -3,6 +3,7 @@
 
 #include "core/core.hpp"
 #include "net/net.hpp"
+#include "policy/serving/serving.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -75,6 +76,7 @@
     /// Time for which the results of a job stay readable.
     duration result_lifetime = std::chrono::seconds(120);
     response_size_limits bounds;
+    serving::key_freshness_settings key_freshness;
     severity log_level = severity::info;
 };
 
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -1,5 +1,7 @@
 #include "servers/node/online_call.hpp"
 
+#include "servers/node/access_refusal.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -50,6 +52,10 @@
       arrived(received), timer(io)
 {
     this->set_deadline();
+    if (this->configuration->organisations.is_active())
+    {
+        this->key = platform::parse_caller_key(caller.head().headers);
+    }
     this->digest = hash_bytes(
         this->body,
         hash_bytes(
@@ -204,6 +210,41 @@
            this->stop_deadline_reached;
 }
 
+serving::access_decision online_call::check_access() const
+{
+    const std::shared_ptr<const serving::serving_configuration> current =
+        this->services.fleet.configuration();
+    if (!current->organisations.is_active())
+    {
+        return {};
+    }
+    // A search among the routes costs more than all else here.
+    const serving::serving_route* found =
+        current == this->configuration
+            ? this->route
+            : serving::find_route(
+                  *current,
+                  this->parameters.host,
+                  platform::path_of(this->exchange.head().target));
+    return serving::check_access(
+        *current,
+        found != nullptr && found->is_public,
+        this->key ? *this->key
+                  : platform::parse_caller_key(this->exchange.head().headers),
+        this->services.fleet.keys_are_current());
+}
+
+bool online_call::has_access() const
+{
+    if (this->runs > 0 || this->head_sent)
+    {
+        return true;
+    }
+    const serving::access_decision decision = this->check_access();
+    return decision.outcome == serving::access_outcome::granted &&
+           decision.organisation == this->organisation;
+}
+
 slot_requirements online_call::make_slot_requirements() const
 {
     const std::uint64_t draw = hash_bytes(this->parameters.attempt_id);
@@ -216,16 +257,19 @@
     requirements.parts = this->parts;
     requirements.repeatable = this->may_run_again();
     requirements.organisation = this->organisation;
+    requirements.priority = serving::choose_priority(
+        *this->configuration, *this->route, this->organisation);
     requirements.excluded = this->failed_runners;
     requirements.still_hold = [this, draw]
     {
-        return serving::may_keep_waiting(
-            *this->route,
-            serving::find_route(
-                *this->services.fleet.configuration(),
-                this->parameters.host,
-                platform::path_of(this->exchange.head().target)),
-            draw);
+        return this->has_access() &&
+               serving::may_keep_waiting(
+                   *this->route,
+                   serving::find_route(
+                       *this->services.fleet.configuration(),
+                       this->parameters.host,
+                       platform::path_of(this->exchange.head().target)),
+                   draw);
     };
     return requirements;
 }
@@ -236,6 +280,11 @@
     sent_parameters.runner_id = runner;
     sent_parameters.time_left = this->deadline - read_monotonic_clock();
     sent_parameters.last_event_id = this->events.last_id();
+    if (!this->organisation.empty() ||
+        this->services.fleet.configuration()->organisations.is_active())
+    {
+        sent_parameters.organisation = this->organisation;
+    }
     net::http_request request;
     request.method = this->exchange.head().method;
     request.target = this->exchange.head().target;
@@ -265,6 +314,16 @@
         co_await this->refuse(duration::zero(), reason::draining);
         co_return step::done;
     }
+    if (this->runs == 0 && !this->head_sent)
+    {
+        serving::access_decision decision = this->check_access();
+        if (decision.outcome != serving::access_outcome::granted)
+        {
+            co_await this->refuse_access(decision);
+            co_return step::done;
+        }
+        this->organisation = std::move(decision.organisation);
+    }
     slot_requirements requirements = this->make_slot_requirements();
     const slot_result slot = co_await this->services.slots.acquire(
         std::move(requirements), this->slot_request_cancellation);
@@ -298,7 +357,9 @@
                                  (!this->is_aborted() && this->may_begin_run());
         co_return step::retry;
     }
-    if (!this->may_begin_run())
+    // A key may have been revoked, or the information about keys may have
+    // become too old, while the request waited.
+    if (!this->may_begin_run() || !this->has_access())
     {
         this->release(slot, serving::slot_outcome::unused);
         co_return step::retry;
@@ -712,6 +773,7 @@
         co_return;
     }
     this->services.counters.count_refusal(why);
+    this->services.counters.count_organisation_refusal(this->organisation, why);
     this->services.stop.refused += why == reason::draining ? 1 : 0;
     log_event(
         event::request_refused,
@@ -725,6 +787,13 @@
         platform::make_refusal(retry_after, name_of(why)));
 }
 
+asio::awaitable<void>
+online_call::refuse_access(const serving::access_decision& decision)
+{
+    co_await node::refuse_access(
+        this->exchange, this->services.counters, this->route->name, decision);
+}
+
 asio::awaitable<void> online_call::fail(int status, reason why)
 {
     log_event(
--- a/servers/node/online_call.hpp
+++ b/servers/node/online_call.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -68,6 +69,13 @@
     void set_deadline();
     /// Returns whether the request may run once more if it has run already.
     bool may_run_again() const;
+    /// Checks the caller's key against the current configuration.
+    serving::access_decision check_access() const;
+    /// Returns whether the request may be sent to a runner for the organisation
+    /// for which it was accepted. Always true once it may have run.
+    bool has_access() const;
+    boost::asio::awaitable<void>
+    refuse_access(const serving::access_decision& decision);
     slot_requirements make_slot_requirements() const;
     boost::asio::awaitable<void> reject_without_route();
     net::http_request make_request(const std::string& runner) const;
@@ -121,6 +129,9 @@
     std::string body;
     /// Name of the organisation of the caller; empty if there is none.
     std::string organisation;
+    /// Key of the caller; nothing if there were no organisations when the
+    /// request arrived.
+    std::optional<serving::caller_key> key;
     platform::caller_parameters parameters;
     time_point arrived;
     time_point deadline;
--- a/servers/node/slot_client.hpp
+++ b/servers/node/slot_client.hpp
@@ -39,6 +39,8 @@
     bool repeatable = false;
     /// Name of the organisation of an online request; empty if there is none.
     std::string organisation = {};
+    /// Rank of the request; zero is the highest.
+    std::int64_t priority = 0;
     /// Runners that must not be chosen.
     std::vector<std::string> excluded;
     /// Returns whether the requirements still hold. Called when the
--- a/servers/node/table_watch.cpp
+++ b/servers/node/table_watch.cpp
@@ -105,6 +105,14 @@
     return duration(distribution(this->generator));
 }
 
+void table_watch::report_confirmed(boot_time_point sent) const
+{
+    if (this->hooks.on_confirmed)
+    {
+        this->hooks.on_confirmed(sent);
+    }
+}
+
 void table_watch::set_reachable(bool now_reachable, const std::string& why)
 {
     if (now_reachable == this->reachable)
@@ -155,6 +163,7 @@
 
 asio::awaitable<result<void>> table_watch::read_snapshot()
 {
+    const boot_time_point sent = read_boot_clock();
     const result<std::vector<std::string>> partitions =
         co_await this->store.list_partitions(this->table);
     if (!partitions)
@@ -215,6 +224,7 @@
     this->version = first_version;
     this->has_snapshot = true;
     this->last_response = read_monotonic_clock();
+    this->report_confirmed(sent);
     co_return boost::outcome_v2::success();
 }
 
@@ -225,6 +235,7 @@
     const duration wait =
         this->follow_wait - std::min(this->follow_wait, this->coalesced_time);
     this->coalesced_time = duration::zero();
+    const boot_time_point sent = read_boot_clock();
     result<ports::record_page> page =
         co_await this->store.follow(this->table, this->version, wait);
     if (!page)
@@ -237,6 +248,10 @@
     }
     this->version = std::max(this->version, page.value().version);
     this->last_response = read_monotonic_clock();
+    if (!page.value().has_more)
+    {
+        this->report_confirmed(sent);
+    }
     if (!page.value().records.empty())
     {
         co_await this->coalesce();
--- a/servers/node/table_watch.hpp
+++ b/servers/node/table_watch.hpp
@@ -31,6 +31,12 @@
     /// page by page, so that a snapshot takes no more memory than what is
     /// needed of it. An empty function means that all are needed.
     std::function<bool(const ports::record&)> is_needed = {};
+    /// Called after all records or changes of a response were reported, unless
+    /// the store has more of them, with the time at which the call was sent.
+    /// The watch then knows every change that was confirmed before that time.
+    /// The time of the response shows less, because a response may be late. May
+    /// be empty.
+    std::function<void(boot_time_point)> on_confirmed = {};
 };
 
 /// Delays before the next call for changes, so that one call returns many of
@@ -81,6 +87,7 @@
     boost::asio::awaitable<result<void>> read_snapshot();
     boost::asio::awaitable<result<void>> follow();
     boost::asio::awaitable<void> coalesce();
+    void report_confirmed(boot_time_point sent) const;
     void set_reachable(bool now_reachable, const std::string& why);
     duration choose_retry_pause();
 
--- a/tests/servers/node/job_store_test.cpp
+++ b/tests/servers/node/job_store_test.cpp
@@ -45,7 +45,7 @@
         job.owner = "vm-1";
         job.tokens = {100};
         return testing_support::run_to_end(
-            this->io, this->store.submit(std::move(job), "{}", 0));
+            this->io, this->store.submit(std::move(job), "{}", {}));
     }
 
     boost::asio::io_context io{1};
--- a/tests/support/memory_records.hpp
+++ b/tests/support/memory_records.hpp
@@ -18,7 +18,7 @@
 
 /// Record store in memory. It has no feed of changes, so that a watch only
 /// reads its snapshot.
-class memory_records final : public ports::record_store
+class memory_records : public ports::record_store
 {
 public:
     using row_name = std::tuple<std::string, std::string, std::string>;
