--- a/core/event.cpp
+++ b/core/event.cpp
@@ -60,6 +60,8 @@
         {trait_quarantined, "trait_quarantined", error, "Requests that have all of `companions` crashed runners and are refused for `time_left_ms`."},
         {trait_released, "trait_released", info, "Requests with a quarantined trait may run again: a run showed that it is good, or nothing used it for long."},
         {request_cut_off, "request_cut_off", warning, "This process ended a request that may have run before its response was complete."},
+        {quota_refused, "quota_refused", info, "An organisation sent requests beyond its quota; a line per second with the numbers of this coordinator."},
+        {quota_contact_changed, "quota_contact_changed", warning, "This coordinator of slots lost or regained contact with the majority of the fleet; without it, it grants only a reserve of each quota."},
 
         {job_accepted, "job_accepted", info, "A batch job was accepted."},
         {job_refused, "job_refused", info, "A batch job was not accepted."},
--- a/core/event.hpp
+++ b/core/event.hpp
@@ -47,6 +47,8 @@
     trait_quarantined = 219,
     trait_released = 220,
     request_cut_off = 221,
+    quota_refused = 240,
+    quota_contact_changed = 241,
 
     // 300: batch jobs.
     job_accepted = 300,
--- a/core/reason.hpp
+++ b/core/reason.hpp
@@ -59,9 +59,10 @@
     revision_conflict,
     stale_fencing_number,
     weight_store_limited,
+    over_quota,
 };
 
-inline constexpr enum_table<reason, 39> reason_names = {{
+inline constexpr enum_table<reason, 40> reason_names = {{
     {reason::invalid_request, "invalid_request"},
     {reason::body_too_large, "body_too_large"},
     {reason::unauthenticated, "unauthenticated"},
@@ -101,6 +102,7 @@
     {reason::revision_conflict, "revision_conflict"},
     {reason::stale_fencing_number, "stale_fencing_number"},
     {reason::weight_store_limited, "weight_store_limited"},
+    {reason::over_quota, "over_quota"},
 }};
 
 /// Returns the name of a reason, such as "route_limit".
--- a/core/settings.cpp
+++ b/core/settings.cpp
@@ -232,6 +232,38 @@
     return this->check_range(key, *number, lowest, highest);
 }
 
+double settings_reader::optional_number(
+    std::string_view key, double fallback, double lowest, double highest)
+{
+    const auto entry = this->settings.find(key);
+    const bool is_integer =
+        entry != this->settings.end() &&
+        std::holds_alternative<std::int64_t>(entry->second.content);
+    double number = fallback;
+    if (is_integer)
+    {
+        this->requested_keys.emplace(key);
+        number =
+            static_cast<double>(std::get<std::int64_t>(entry->second.content));
+    }
+    else if (
+        const auto* const found = this->find<double>(key, false, "a number"))
+    {
+        number = *found;
+    }
+    // A comparison with a value that is not a number is false.
+    if (!(number >= lowest && number <= highest))
+    {
+        this->reject(
+            key,
+            "a number from " + std::to_string(lowest) + " to " +
+                std::to_string(highest),
+            std::to_string(number));
+        return fallback;
+    }
+    return number;
+}
+
 std::uint16_t settings_reader::required_port(std::string_view key)
 {
     return static_cast<std::uint16_t>(
--- a/core/settings.hpp
+++ b/core/settings.hpp
@@ -53,6 +53,11 @@
         std::int64_t lowest,
         std::int64_t highest);
 
+    /// Reads an integer or a decimal number in the closed range [lowest,
+    /// highest].
+    double optional_number(
+        std::string_view key, double fallback, double lowest, double highest);
+
     /// Reads a port number from 1 to 65535.
     std::uint16_t required_port(std::string_view key);
 
--- a/policy/serving/organisation_quota.cpp
+++ b/policy/serving/organisation_quota.cpp
@@ -24,6 +24,8 @@
 /// Time after which a request without contact is worth a new attempt.
 constexpr std::chrono::milliseconds isolated_retry(1000);
 constexpr std::chrono::milliseconds prune_interval(500);
+/// Number of times that a request without a decision is decided in a tick.
+constexpr double undecided_calls = 3.0;
 
 double to_seconds(duration length)
 {
@@ -94,6 +96,11 @@
 
 } // namespace
 
+organisation_limit make_organisation_limit(const organisation& source)
+{
+    return {source.rate_per_s, source.burst, source.priority.value_or(0)};
+}
+
 double reserve_part(
     const organisation_quota_settings& settings,
     const organisation_limit& limit)
@@ -172,11 +179,6 @@
     this->takeover_at = now;
 }
 
-bool organisation_quota::must_wait(const std::string& organisation) const
-{
-    return this->contact.undecided && this->find_limit(organisation);
-}
-
 void organisation_quota::set_contact(
     time_point now, const quota_contact& current)
 {
@@ -245,8 +247,7 @@
     return state;
 }
 
-quota_counters&
-organisation_quota::counters_of(const std::string& organisation)
+quota_counters& organisation_quota::counters_of(const std::string& organisation)
 {
     const bool known = this->counted.contains(organisation);
     return this->counted
@@ -328,9 +329,11 @@
 std::size_t organisation_quota::count_sharers(
     time_point now, const organisation_state& state) const
 {
-    // Before the others know that requests arrive here, each of them may expect
-    // the tokens for itself.
-    if (now - state.first_request < this->settings.share_delay)
+    // Before the others know that requests arrive here, or this node knows
+    // their charges, each of them may expect the tokens for itself.
+    const time_point known_since =
+        std::max(state.first_request, this->takeover_at.value_or(time_point()));
+    if (now - known_since < this->settings.share_delay)
     {
         return std::max<std::size_t>(1, this->contact.coordinators);
     }
@@ -345,32 +348,38 @@
                    }));
 }
 
-bool organisation_quota::may_charge(
+quota_decision_kind organisation_quota::decide(
     time_point now,
     const organisation_state& state,
     const organisation_limit& limit,
     double level) const
 {
+    if (this->contact.undecided)
+    {
+        return quota_decision_kind::undecided;
+    }
     if (!this->contact.in_majority)
     {
         const std::int64_t first = std::max(
             this->first_tick(now), this->tick_of(this->isolated_since));
         const double part =
-            this->slack(limit) /
-            static_cast<double>(
-                std::max<std::size_t>(1, this->contact.known_nodes));
-        return static_cast<double>(state.own.total_since(first) + 1) <= part;
+            this->slack(limit) / static_cast<double>(std::max<std::size_t>(
+                                     1, this->contact.known_nodes));
+        return static_cast<double>(state.own.total_since(first) + 1) <= part
+                   ? quota_decision_kind::charged
+                   : quota_decision_kind::refused;
     }
     if (level < 1.0)
     {
-        return false;
+        return quota_decision_kind::refused;
     }
-    const auto unknown = static_cast<double>(state.own.total_since(
-        this->tick_of(now - this->settings.share_delay)));
-    return unknown == 0.0 ||
-           unknown + 1.0 <=
-               (level + unknown + this->slack(limit)) /
-                   static_cast<double>(this->count_sharers(now, state));
+    const auto unknown = static_cast<double>(
+        state.own.total_since(this->tick_of(now - this->settings.share_delay)));
+    const double part = (level + unknown + this->slack(limit)) /
+                        static_cast<double>(this->count_sharers(now, state));
+    return unknown == 0.0 || unknown + 1.0 <= part
+               ? quota_decision_kind::charged
+               : quota_decision_kind::undecided;
 }
 
 duration organisation_quota::choose_retry_after(
@@ -383,43 +392,59 @@
     {
         return isolated_retry;
     }
-    // A coordinator that has spent its part, though tokens are left, knows more
-    // after the next statuses.
-    const time_point token_at =
-        now + (level >= 1.0
-                   ? this->settings.share_delay
-                   : from_seconds(std::min(
-                         to_seconds(this->settings.window),
-                         (1.0 - level) / limit.rate_per_s)));
+    const time_point token_at = now + from_seconds(std::clamp(
+                                          (1.0 - level) / limit.rate_per_s,
+                                          0.0,
+                                          to_seconds(this->settings.window)));
     const time_point after_others =
-        state.next_retry_at + from_seconds(std::min(
-                                  to_seconds(this->settings.window),
-                                  1.0 / limit.rate_per_s));
+        state.next_retry_at +
+        from_seconds(std::min(
+            to_seconds(this->settings.window), 1.0 / limit.rate_per_s));
     // One window without requests fills the bucket in any case.
-    state.next_retry_at = std::min(
-        std::max(token_at, after_others), now + this->settings.window);
+    state.next_retry_at =
+        std::min(std::max(token_at, after_others), now + this->settings.window);
     return state.next_retry_at - now;
 }
 
-std::optional<duration>
+quota_decision
 organisation_quota::charge(time_point now, const std::string& organisation)
 {
     const std::optional<organisation_limit> limit =
         this->find_limit(organisation);
     if (!limit)
     {
-        return std::nullopt;
+        return {};
     }
     organisation_state& state = this->find_or_add(now, organisation);
     const double level = this->find_level(now, state, *limit);
-    if (!this->may_charge(now, state, *limit, level))
+    quota_decision decision;
+    decision.kind = this->decide(now, state, *limit, level);
+    if (decision.kind == quota_decision_kind::undecided)
+    {
+        // No more requests wait than there may be tokens for. A request that
+        // waits is decided again about twice in each tick.
+        const std::int64_t tick = this->tick_of(now);
+        state.undecided =
+            state.undecided_tick == tick ? state.undecided + 1 : 1;
+        state.undecided_tick = tick;
+        if (static_cast<double>(state.undecided) >
+            undecided_calls * std::max(1.0, level))
+        {
+            decision.kind = quota_decision_kind::refused;
+        }
+    }
+    if (decision.kind == quota_decision_kind::refused)
     {
         ++this->counters_of(organisation).refused;
-        return this->choose_retry_after(now, state, *limit, level);
+        decision.retry_after =
+            this->choose_retry_after(now, state, *limit, level);
+    }
+    else if (decision.kind == quota_decision_kind::charged)
+    {
+        state.own.add(this->tick_of(now), 1);
+        ++this->counters_of(organisation).charged;
     }
-    state.own.add(this->tick_of(now), 1);
-    ++this->counters_of(organisation).charged;
-    return std::nullopt;
+    return decision;
 }
 
 void organisation_quota::charge_admitted(
@@ -477,7 +502,7 @@
     own.add(tick, 1);
 }
 
-quota_status organisation_quota::make_status(time_point now)
+quota_status organisation_quota::make_status(time_point now, bool all)
 {
     quota_status status;
     const std::uint64_t number = this->status_number++;
@@ -506,12 +531,12 @@
     {
         for (auto& [name, state] : this->organisations)
         {
-            const bool is_new = state.last_request != time_point() &&
-                                now - state.last_request <=
-                                    this->settings.resend_time;
+            const bool is_new =
+                state.last_request != time_point() &&
+                now - state.last_request <= this->settings.resend_time;
             const bool is_turn =
                 state.last_request != time_point() && !state.own.is_empty() &&
-                (hash_bytes(name) + number) % repeat_statuses == 0;
+                (all || (hash_bytes(name) + number) % repeat_statuses == 0);
             if ((repeated ? !is_new && is_turn : is_new) && has_space())
             {
                 add(name, state);
@@ -597,9 +622,8 @@
                 now - usage.last_request > this->settings.window;
             peer = is_idle ? state.peers.erase(peer) : std::next(peer);
         }
-        const bool is_idle =
-            state.own.is_empty() && state.peers.empty() &&
-            now - state.last_request > this->settings.window;
+        const bool is_idle = state.own.is_empty() && state.peers.empty() &&
+                             now - state.last_request > this->settings.window;
         entry = is_idle ? this->organisations.erase(entry) : std::next(entry);
     }
     std::erase_if(
--- a/policy/serving/organisation_quota.hpp
+++ b/policy/serving/organisation_quota.hpp
@@ -2,6 +2,7 @@
 #define CHICORY_POLICY_SERVING_ORGANISATION_QUOTA_HPP
 
 #include "core/core.hpp"
+#include "policy/serving/organisations.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -27,6 +28,9 @@
     bool operator==(const organisation_limit&) const = default;
 };
 
+/// Returns the limit of an organisation of the configuration.
+organisation_limit make_organisation_limit(const organisation& source);
+
 /// Number of requests of one age. Ages are relative to the time of sending,
 /// because the clocks of nodes differ.
 struct quota_count
@@ -125,10 +129,30 @@
     std::int64_t refused = 0;
 };
 
+/// Decision about the charge of a request.
+enum class quota_decision_kind : std::uint8_t
+{
+    /// The request is charged, or its organisation has no limit.
+    charged,
+    /// The organisation has no token.
+    refused,
+    /// Tokens remain, but other coordinators may spend them now. The request
+    /// has to wait for their next statuses.
+    undecided,
+};
+
+struct quota_decision
+{
+    quota_decision_kind kind = quota_decision_kind::charged;
+    /// Refused: time after which the organisation is expected to have a token
+    /// for this request.
+    duration retry_after = duration::zero();
+};
+
 /// Contact of this node with the rest of the fleet.
 struct quota_contact
 {
-    /// Coordinators that charge quotas, this one included.
+    /// Coordinators that may charge quotas, this one included.
     std::size_t coordinators = 1;
     /// False while this node reaches only a minority of the fleet.
     bool in_majority = true;
@@ -174,15 +198,8 @@
 
     void set_contact(time_point now, const quota_contact& current);
 
-    /// Returns whether a request of the organisation has to wait until it is
-    /// known whether this node is in contact with the others.
-    bool must_wait(const std::string& organisation) const;
-
-    /// Charges one request. Returns nothing if it is within the quota;
-    /// otherwise, it is not charged, and the result is the time after which the
-    /// organisation is expected to have a token for it.
-    std::optional<duration>
-    charge(time_point now, const std::string& organisation);
+    /// Charges one request if it is within the quota.
+    quota_decision charge(time_point now, const std::string& organisation);
 
     /// Charges a request that another coordinator admitted and redirected.
     void charge_admitted(time_point now, const std::string& organisation);
@@ -195,8 +212,9 @@
     void on_run(
         time_point now, const std::string& organisation, time_point charged_at);
 
-    /// Returns the usage to send to the other coordinators.
-    quota_status make_status(time_point now);
+    /// Returns the usage to send to the other coordinators. `all` includes
+    /// every organisation with a history, for a coordinator that knows nothing.
+    quota_status make_status(time_point now, bool all = false);
 
     /// Records the usage of another coordinator.
     void on_status(
@@ -244,6 +262,9 @@
         time_point last_request;
         /// Time that was given to the last refused request.
         time_point next_retry_at;
+        /// Number of undecided requests in a tick.
+        std::int64_t undecided_tick = 0;
+        std::int64_t undecided = 0;
     };
 
     std::int64_t tick_of(time_point now) const;
@@ -255,7 +276,7 @@
         time_point now,
         const organisation_state& state,
         const organisation_limit& limit) const;
-    bool may_charge(
+    quota_decision_kind decide(
         time_point now,
         const organisation_state& state,
         const organisation_limit& limit,
--- a/policy/serving/quota_contacts.cpp
+++ b/policy/serving/quota_contacts.cpp
@@ -34,6 +34,20 @@
     return {chosen.begin(), chosen.end()};
 }
 
+std::size_t count_preferred_coordinators(
+    const std::vector<const std::vector<std::string>*>& orders)
+{
+    std::set<std::string> first;
+    for (const std::vector<std::string>* order : orders)
+    {
+        if (!order->empty())
+        {
+            first.insert(order->front());
+        }
+    }
+    return first.size();
+}
+
 quota_contacts::quota_contacts(
     std::string node, quota_contacts_settings initial)
     : self(std::move(node)), settings(initial)
@@ -62,9 +76,11 @@
     this->live_count = live.size();
 }
 
-void quota_contacts::set_participants(std::vector<std::string> nodes)
+void quota_contacts::set_participants(
+    std::vector<std::string> nodes, std::size_t preferred_coordinators)
 {
     this->participants = std::move(nodes);
+    this->coordinators = preferred_coordinators;
 }
 
 bool quota_contacts::is_heard(time_point now, const std::string& node) const
@@ -130,8 +146,12 @@
             return node == this->self || this->is_heard(now, node);
         }));
     quota_contact contact;
+    // A node that has just taken over a group and is not preferred, and the
+    // preferred one, may both charge.
+    const bool has_taken_over =
+        now - this->takeover_at <= this->settings.status_lifetime;
     contact.coordinators =
-        std::max<std::size_t>(1, this->receivers(now).size() + 1);
+        std::max<std::size_t>(1, this->coordinators) + (has_taken_over ? 1 : 0);
     const bool is_heard_by_majority =
         this->participants.empty() || 2 * heard > this->participants.size();
     const bool has_majority_of_nodes =
--- a/policy/serving/quota_contacts.hpp
+++ b/policy/serving/quota_contacts.hpp
@@ -25,10 +25,14 @@
     duration takeover_grace = std::chrono::milliseconds(300);
 };
 
-/// Minimum number of nodes that exchange statuses, so that the failure of two of
-/// them leaves a majority.
+/// Minimum number of nodes that exchange statuses, so that the failure of two
+/// of them leaves a majority.
 inline constexpr std::size_t min_quota_participants = 5;
 
+/// Returns the number of distinct first nodes of the orders.
+std::size_t count_preferred_coordinators(
+    const std::vector<const std::vector<std::string>*>& orders);
+
 /// Returns the nodes that exchange quota statuses: the preferred coordinator of
 /// each group, and the next ones in order while there are fewer than
 /// `min_quota_participants`. `orders` are the coordinators of each group in
@@ -56,7 +60,10 @@
         const std::vector<std::string>& live,
         const std::vector<std::string>& leaving);
 
-    void set_participants(std::vector<std::string> nodes);
+    /// Sets the nodes that exchange statuses, and how many of them are
+    /// preferred coordinators of a group.
+    void set_participants(
+        std::vector<std::string> nodes, std::size_t preferred_coordinators);
 
     /// Records a status from another node. Returns whether that node was not
     /// in contact before.
@@ -83,6 +90,7 @@
     std::string self;
     quota_contacts_settings settings;
     std::vector<std::string> participants;
+    std::size_t coordinators = 1;
     std::map<std::string, time_point> heard_at;
     /// Nodes that may be in use, and when they were live last.
     std::map<std::string, time_point> live_at;
--- a/policy/serving/serving.hpp
+++ b/policy/serving/serving.hpp
@@ -16,6 +16,7 @@
 #include "policy/serving/job_ownership.hpp"
 #include "policy/serving/job_record.hpp"
 #include "policy/serving/organisation_quota.hpp"
+#include "policy/serving/organisations.hpp"
 #include "policy/serving/part_digests.hpp"
 #include "policy/serving/quota_contacts.hpp"
 #include "policy/serving/runner_directory.hpp"
--- a/servers/node/node_members.cpp
+++ b/servers/node/node_members.cpp
@@ -346,6 +346,20 @@
     return live;
 }
 
+std::vector<std::string> node_members::leaving_nodes() const
+{
+    std::vector<std::string> leaving;
+    for (const auto& [id, record] : this->gossip.state().table().records())
+    {
+        if (record.details.role == membership::vm_role::entry &&
+            record.status.state == membership::vm_state::leaving)
+        {
+            leaving.push_back(id);
+        }
+    }
+    return leaving;
+}
+
 std::uint64_t node_members::version() const
 {
     // The announcement that this node is leaving also counts as a change of the
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -120,6 +120,7 @@
           this->fleet,
           this->topology,
           this->settings.vm_id,
+          this->settings.quotas,
           [this](const std::string& node, const wire::slot_packet& packet)
           {
               this->packets.send(node, packet);
@@ -136,6 +137,7 @@
           this->settings.vm_id,
           this->settings.zone,
           this->incarnation,
+          this->settings.quotas,
           [this](const std::string& node, const wire::slot_packet& packet)
           {
               this->packets.send(node, packet);
@@ -273,6 +275,16 @@
     this->peers.start();
     this->quarantines.start();
     this->coordinator.start();
+    this->coordinator.set_leaving_nodes(
+        [this]
+        {
+            return this->members.leaving_nodes();
+        });
+    this->slots.set_known_nodes(
+        [this]
+        {
+            return this->coordinator.known_nodes();
+        });
     this->slots.start();
     this->jobs.start();
     this->job_work.start();
@@ -396,6 +408,19 @@
     this->counters.set("coordinated_online_slots", online);
     this->counters.set("coordinated_batch_slots", batch);
     this->counters.set("coordinated_online_waiting", waiting);
+    for (const auto& [organisation, quota] :
+         this->coordinator.quota().counters())
+    {
+        this->counters.set_of_organisation(
+            "quota_granted", organisation, quota.charged);
+        this->counters.set_of_organisation(
+            "quota_refused", organisation, quota.refused);
+        this->counters.set_of_organisation(
+            "quota_in_window",
+            organisation,
+            this->coordinator.quota().count_in_window(
+                read_monotonic_clock(), organisation));
+    }
     net::http_response response;
     response.headers["content-type"] = "text/plain; version=0.0.4";
     response.body = this->counters.render();
@@ -503,6 +528,7 @@
         route,
         exchange,
         std::move(body.value()),
+        std::string(),
         arrived);
     this->stop.arrived += this->stop.plan ? 1 : 0;
     // Removes the call also when it ends with an exception. The set is shared,
--- a/servers/node/node_settings.cpp
+++ b/servers/node/node_settings.cpp
@@ -45,6 +45,13 @@
 constexpr std::int64_t min_response_limit = 16384;
 constexpr std::int64_t max_response_limit = std::int64_t(256) << 20U;
 
+/// The window is divided into ticks of 50 ms, so that a history has at most
+/// 1,200 counts.
+constexpr double min_quota_window_s = 1.0;
+constexpr double max_quota_window_s = 60.0;
+constexpr double max_quota_overshoot = 10.0;
+constexpr double max_quota_tolerance = 100000.0;
+
 response_size_limits read_response_limits(settings_reader& reader)
 {
     response_size_limits bounds;
@@ -70,6 +77,23 @@
     return bounds;
 }
 
+serving::organisation_quota_settings read_quotas(settings_reader& reader)
+{
+    serving::organisation_quota_settings quotas;
+    const double seconds = reader.optional_number(
+        "quotas.window_s",
+        std::chrono::duration<double>(quotas.window).count(),
+        min_quota_window_s,
+        max_quota_window_s);
+    quotas.window = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(seconds));
+    quotas.overshoot = reader.optional_number(
+        "quotas.overshoot", quotas.overshoot, 0.0, max_quota_overshoot);
+    quotas.tolerance = reader.optional_number(
+        "quotas.tolerance", quotas.tolerance, 0.0, max_quota_tolerance);
+    return quotas;
+}
+
 severity read_level(settings_reader& reader)
 {
     const std::string name = reader.optional_string("log.level", "info");
@@ -119,6 +143,7 @@
     settings.result_lifetime =
         read_seconds(reader, "times.result_lifetime_s", 120);
     settings.bounds = read_response_limits(reader);
+    settings.quotas = read_quotas(reader);
     settings.log_level = read_level(reader);
     if (const result<void> checked = reader.finish(); !checked)
     {
--- a/servers/node/node_settings.hpp
+++ b/servers/node/node_settings.hpp
@@ -3,6 +3,7 @@
 
 #include "core/core.hpp"
 #include "net/net.hpp"
+#include "policy/serving/serving.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -75,6 +76,8 @@
     /// Time for which the results of a job stay readable.
     duration result_lifetime = std::chrono::seconds(120);
     response_size_limits bounds;
+    /// Window and tolerance of the quotas of organisations.
+    serving::organisation_quota_settings quotas;
     severity log_level = severity::info;
 };
 
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -39,11 +39,13 @@
     const serving::serving_route& initial_route,
     net::http_exchange& caller,
     std::string initial_body,
+    std::string initial_organisation,
     time_point received)
     : services(initial_services),
       configuration(std::move(initial_configuration)), route(&initial_route),
       was_repeatable(serving::is_repeatable(initial_route)), exchange(caller),
       body(std::move(initial_body)),
+      organisation(std::move(initial_organisation)),
       parameters(platform::parse_caller_parameters(caller.head().headers)),
       arrived(received), timer(io)
 {
@@ -213,6 +215,8 @@
     requirements.request_digest = this->digest;
     requirements.parts = this->parts;
     requirements.repeatable = this->may_run_again();
+    requirements.organisation = this->organisation;
+    requirements.charged = this->runs > 0;
     requirements.excluded = this->failed_runners;
     requirements.still_hold = [this, draw]
     {
@@ -277,6 +281,12 @@
             slot.direct ? reason::no_runner : reason::queue_time);
         co_return step::done;
     }
+    if (slot.kind == slot_result::result_kind::over_quota)
+    {
+        this->refused_slot = slot.id.number;
+        co_await this->refuse(slot.retry_after, reason::over_quota);
+        co_return step::done;
+    }
     if (slot.kind == slot_result::result_kind::quarantined)
     {
         log_event(
@@ -710,6 +720,19 @@
     }
     this->services.counters.count_refusal(why);
     this->services.stop.refused += why == reason::draining ? 1 : 0;
+    if (why == reason::over_quota)
+    {
+        log_event(
+            event::request_refused,
+            {{"request", this->parameters.attempt_id},
+             {"reason", std::string(name_of(why))},
+             {"organisation", this->organisation},
+             {"slot", this->refused_slot},
+             {"retry_after_ms", retry_after.count() / 1000}});
+        co_await this->exchange.respond(
+            platform::make_quota_refusal(retry_after, name_of(why)));
+        co_return;
+    }
     log_event(
         event::request_refused,
         {{"request", this->parameters.attempt_id},
--- a/servers/node/slot_client.cpp
+++ b/servers/node/slot_client.cpp
@@ -27,6 +27,9 @@
 /// Maximum number of runs that crashed a runner in a report; bounded because a
 /// report is one datagram.
 constexpr std::size_t max_reported_crashes = 16;
+/// Time after which a request beyond the quota is worth a new attempt when no
+/// coordinator responds; by then, a node is a member of the fleet again or not.
+constexpr std::chrono::milliseconds direct_quota_retry(1000);
 /// Time between two reports of all slots in use.
 constexpr std::chrono::milliseconds report_interval(250);
 
@@ -48,10 +51,11 @@
     std::string vm_id,
     std::string zone,
     std::uint64_t started,
+    const serving::organisation_quota_settings& quotas,
     send_hook hook)
     : context(io), ticker(io), fleet(initial_fleet), self(std::move(vm_id)),
       own_zone(std::move(zone)), incarnation(started), send(std::move(hook)),
-      topology(initial_topology)
+      topology(initial_topology), sent(quotas)
 {
 }
 
@@ -123,6 +127,13 @@
         this->resolve(pending, std::move(result));
         return;
     }
+    if (!this->may_send_directly(now, pending.request))
+    {
+        result.kind = slot_result::result_kind::over_quota;
+        result.retry_after = direct_quota_retry;
+        this->resolve(pending, std::move(result));
+        return;
+    }
     std::map<std::string, std::int64_t> own_requests;
     for (const auto& [number, slot] : this->used_slots)
     {
@@ -160,6 +171,42 @@
     this->resolve(pending, std::move(result));
 }
 
+bool slot_client::may_send_directly(
+    time_point now, const serving::slot_request& request)
+{
+    const auto configuration = this->fleet.configuration();
+    if (request.organisation.empty() || request.charged ||
+        configuration == nullptr)
+    {
+        return true;
+    }
+    const serving::organisation* found =
+        configuration->organisations.find_by_name(request.organisation);
+    return found == nullptr || this->sent.charge_direct(
+                                   now,
+                                   request.organisation,
+                                   serving::make_organisation_limit(*found),
+                                   this->known_nodes ? this->known_nodes() : 1);
+}
+
+void slot_client::record_sent(time_point now, const pending_request& pending)
+{
+    const serving::slot_request& request = pending.request;
+    if (!request.organisation.empty() && !request.charged)
+    {
+        this->sent.on_sent(
+            now,
+            to_text(request.group),
+            request.organisation,
+            pending.result.coordinator);
+    }
+}
+
+void slot_client::set_known_nodes(std::function<std::size_t()> hook)
+{
+    this->known_nodes = std::move(hook);
+}
+
 std::int64_t slot_client::configuration_version() const
 {
     const auto configuration = this->fleet.configuration();
@@ -195,6 +242,8 @@
     request.parts = pending->requirements.parts;
     request.repeatable = pending->requirements.repeatable;
     request.excluded = pending->requirements.excluded;
+    request.organisation = pending->requirements.organisation;
+    request.charged = pending->requirements.charged;
     if (const std::optional<duration> left = this->fleet_guard.quarantine_left(
             read_monotonic_clock(),
             serving::make_traits(request.request_digest, request.parts)))
@@ -270,6 +319,7 @@
         slot.request_digest = request.request_digest;
         slot.parts = request.parts;
         slot.report_first_event = pending->result.report_first_event;
+        this->record_sent(now, *pending);
     }
     if (pending->resolved && !outdated)
     {
@@ -483,6 +533,10 @@
     {
         result.kind = slot_result::result_kind::quarantined;
     }
+    if (decision.kind == serving::slot_decision_kind::over_quota)
+    {
+        result.kind = slot_result::result_kind::over_quota;
+    }
     result.runner = decision.runner;
     result.retry_after = decision.retry_after;
     result.coordinator = found->second->coordinator;
@@ -524,6 +578,7 @@
         report.crashed.assign(known->second.begin(), known->second.end());
     }
     report.leaving = this->fleet.runners().leaving(group.service);
+    report.sent = this->sent.make_report(now, to_text(group), *coordinator);
     for (const auto& [number, slot] : this->used_slots)
     {
         if (slot.group == group)
--- a/servers/node/slot_client.hpp
+++ b/servers/node/slot_client.hpp
@@ -37,6 +37,11 @@
     /// Digests of the shared parts of the prompt.
     serving::part_digests parts;
     bool repeatable = false;
+    /// Name of the organisation of an online request; empty if there is none.
+    std::string organisation = {};
+    /// True if the caller's attempt was charged to the quota of its
+    /// organisation and has run.
+    bool charged = false;
     /// Runners that must not be chosen.
     std::vector<std::string> excluded;
     /// Returns whether the requirements still hold. Called when the
@@ -56,13 +61,15 @@
         cancelled,
         /// The request has crashed runners and must not run again.
         quarantined,
+        /// The organisation has used up its quota.
+        over_quota,
         /// The requirements no longer hold under the current configuration.
         outdated,
     };
     result_kind kind = result_kind::cancelled;
     serving::slot_id id;
     std::string runner;
-    /// Time after which a refused or quarantined request may be tried again.
+    /// Time after which a request that was not granted may be tried again.
     duration retry_after = duration::zero();
     /// Node that made the decision; empty when no coordinator made one.
     std::string coordinator;
@@ -103,6 +110,7 @@
         std::string vm_id,
         std::string zone,
         std::uint64_t started,
+        const serving::organisation_quota_settings& quotas,
         send_hook hook);
 
     /// Starts the periodic reports to coordinators.
@@ -141,6 +149,10 @@
     /// Returns the number of slots that this node uses.
     std::size_t in_use() const;
 
+    /// Sets the function that returns the number of nodes that may be in use,
+    /// this one included.
+    void set_known_nodes(std::function<std::size_t()> hook);
+
 private:
     struct pending_request
     {
@@ -179,6 +191,12 @@
     void send_request(time_point now, pending_request& pending);
     void resolve(pending_request& pending, slot_result result);
     void choose_runner_directly(time_point now, pending_request& pending);
+    /// Returns whether a request may be sent without a coordinator as far as
+    /// the quota of its organisation is concerned.
+    bool
+    may_send_directly(time_point now, const serving::slot_request& request);
+    /// Records a granted request of an organisation for later coordinators.
+    void record_sent(time_point now, const pending_request& pending);
     void send_release(const wire::slot_release& packet);
     /// Moves a request or slot whose group no longer exists to the group that
     /// replaces it.
@@ -218,6 +236,9 @@
     std::set<serving::runner_group> reported_groups;
     /// Node to which the last report on each group was sent.
     std::map<serving::runner_group, std::string> report_receivers;
+    /// Requests of organisations that this node sent in the last window.
+    serving::sent_history sent;
+    std::function<std::size_t()> known_nodes;
     std::uint64_t seen_nodes_version = 0;
     std::uint64_t next_number = 1;
     time_point next_report;
--- a/tests/policy/serving/organisation_quota_test.cpp
+++ b/tests/policy/serving/organisation_quota_test.cpp
@@ -135,8 +135,7 @@
     /// Returns the index of the node that coordinates a group for a node.
     std::size_t coordinator_of(std::size_t index, std::size_t group)
     {
-        for (const std::size_t candidate :
-             this->nodes[index]->orders.at(group))
+        for (const std::size_t candidate : this->nodes[index]->orders.at(group))
         {
             if (this->reaches(index, candidate))
             {
@@ -189,6 +188,8 @@
     /// Requests that were refused although they were within the limit.
     std::map<std::string, std::int64_t> refused_with_token;
     time_point now = start;
+    /// Longest time until a request was charged or refused.
+    duration max_undecided = duration::zero();
 
 private:
     struct waiting_request
@@ -304,7 +305,8 @@
                 pointers.push_back(&order);
             }
             known.contacts->set_participants(
-                choose_quota_participants(pointers));
+                choose_quota_participants(pointers),
+                count_preferred_coordinators(pointers));
         }
     }
 
@@ -313,7 +315,8 @@
         return std::stoul(name.substr(1));
     }
 
-    void send_status(std::size_t from, std::size_t to, const quota_status& status)
+    void
+    send_status(std::size_t from, std::size_t to, const quota_status& status)
     {
         if (!this->reaches(from, to) || this->draw() % 50 == 0)
         {
@@ -323,7 +326,8 @@
         receiver.quota->on_status(this->now, this->nodes[from]->name, status);
         if (receiver.contacts->on_heard(this->now, this->nodes[from]->name))
         {
-            this->send_status(to, from, receiver.quota->make_status(this->now));
+            this->send_status(
+                to, from, receiver.quota->make_status(this->now, true));
         }
     }
 
@@ -346,8 +350,8 @@
                 continue;
             }
             node& known = *this->nodes[index];
-            const bool coordinates = !known.coordinated.empty() ||
-                                     known.contacts->is_participant();
+            const bool coordinates =
+                !known.coordinated.empty() || known.contacts->is_participant();
             if (this->now >= known.next_status && coordinates)
             {
                 known.next_status =
@@ -416,8 +420,7 @@
                     continue;
                 }
                 const std::size_t group = this->draw() % this->shape.groups;
-                const std::size_t receiver =
-                    this->coordinator_of(index, group);
+                const std::size_t receiver = this->coordinator_of(index, group);
                 this->nodes[index]->used_groups.insert(group);
                 this->add_coordinator(receiver, group);
                 this->nodes[receiver]->waiting.push_back(
@@ -447,9 +450,9 @@
         }
     }
 
-    /// Charges the bucket of a central counter with exactly the limit. Returns
-    /// whether it had a token.
-    bool use_token(const std::string& name)
+    /// Returns the tokens of a central bucket with exactly the limit, charged
+    /// for each request that was admitted.
+    double& tokens_of(const std::string& name)
     {
         const organisation_limit& limit = this->limits.at(name);
         const auto [entry, added] =
@@ -457,16 +460,11 @@
         auto& [level, updated] = entry->second;
         level = std::min(
             std::max(1.0, limit.burst),
-            level + limit.rate_per_s *
-                        std::chrono::duration<double>(this->now - updated)
-                            .count());
+            level +
+                limit.rate_per_s *
+                    std::chrono::duration<double>(this->now - updated).count());
         updated = this->now;
-        if (level < 1.0)
-        {
-            return false;
-        }
-        level -= 1.0;
-        return true;
+        return level;
     }
 
     /// Returns whether a request is decided.
@@ -475,18 +473,22 @@
         organisation_quota& quota = *known.quota;
         if (!request.charged_at)
         {
-            if (quota.must_wait(request.organisation))
+            const quota_decision_kind kind =
+                quota.charge(this->now, request.organisation).kind;
+            if (kind == quota_decision_kind::undecided)
             {
                 return false;
             }
-            const bool has_token = this->use_token(request.organisation);
-            if (quota.charge(this->now, request.organisation))
+            this->max_undecided =
+                std::max(this->max_undecided, this->now - request.arrived);
+            if (kind == quota_decision_kind::refused)
             {
                 ++this->refused[request.organisation];
                 this->refused_with_token[request.organisation] +=
-                    has_token ? 1 : 0;
+                    this->tokens_of(request.organisation) >= 1.0 ? 1 : 0;
                 return true;
             }
+            this->tokens_of(request.organisation) -= 1.0;
             request.charged_at = this->now;
             // One request in ten waits for a slot.
             request.runs_at =
@@ -721,7 +723,8 @@
 }
 
 TEST(
-    organisation_quota, retry_after_is_when_the_bucket_has_a_token_for_the_caller)
+    organisation_quota,
+    retry_after_is_when_the_bucket_has_a_token_for_the_caller)
 {
     organisation_quota quota(
         {},
@@ -731,18 +734,23 @@
         });
     time_point now = start;
     std::int64_t charged = 0;
-    std::optional<duration> retry;
-    while (!(retry = quota.charge(now, "a")))
+    quota_decision first = quota.charge(now, "a");
+    while (first.kind == quota_decision_kind::charged)
     {
         ++charged;
+        first = quota.charge(now, "a");
     }
     EXPECT_EQ(charged, 2 + 5);
-    const std::optional<duration> second = quota.charge(now, "a");
-    ASSERT_TRUE(second);
-    EXPECT_EQ(*second - *retry, 500ms);
+    EXPECT_EQ(first.kind, quota_decision_kind::refused);
+    const quota_decision second = quota.charge(now, "a");
+    EXPECT_EQ(second.retry_after - first.retry_after, 500ms);
     // Callers that return at the time that they were given are admitted.
-    EXPECT_FALSE(quota.charge(now + *retry + 50ms, "a"));
-    EXPECT_FALSE(quota.charge(now + *second + 50ms, "a"));
+    EXPECT_EQ(
+        quota.charge(now + first.retry_after + 50ms, "a").kind,
+        quota_decision_kind::charged);
+    EXPECT_EQ(
+        quota.charge(now + second.retry_after + 50ms, "a").kind,
+        quota_decision_kind::charged);
 }
 
 TEST(organisation_quota, a_request_that_does_not_run_gets_its_charge_back)
@@ -756,7 +764,7 @@
     time_point now = start;
     for (int number = 0; number < 100; ++number, now += 10ms)
     {
-        ASSERT_FALSE(quota.charge(now, "a"));
+        ASSERT_EQ(quota.charge(now, "a").kind, quota_decision_kind::charged);
         quota.refund(now + 5ms, "a", now);
     }
     EXPECT_EQ(quota.count_in_window(now, "a"), 0);
@@ -771,13 +779,14 @@
         {
             return organisation_limit{1.0, 1.0, 0};
         });
-    ASSERT_FALSE(quota.charge(start, "a"));
+    ASSERT_EQ(quota.charge(start, "a").kind, quota_decision_kind::charged);
     quota.on_run(start + 3s, "a", start);
     EXPECT_EQ(quota.count_in_window(start + 7s, "a"), 1);
     EXPECT_EQ(quota.count_in_window(start + 9s, "a"), 0);
 }
 
-TEST(organisation_quota, memory_is_bounded_by_the_organisations_that_sent_lately)
+TEST(
+    organisation_quota, memory_is_bounded_by_the_organisations_that_sent_lately)
 {
     organisation_quota quota(
         {},
--- a/wire/slot_packet.cpp
+++ b/wire/slot_packet.cpp
@@ -30,6 +30,43 @@
     value = duration(count);
 }
 
+/// Reads or writes the organisation of a request and whether it was charged. A
+/// request without an organisation takes one byte.
+template <class Archive>
+void serialize_name(Archive& archive, std::string& organisation, bool& charged)
+{
+    bool has_organisation = !organisation.empty();
+    archive(has_organisation);
+    if (has_organisation)
+    {
+        archive(organisation, charged);
+    }
+}
+
+template <class Archive>
+void serialize(Archive& archive, quota_count& value)
+{
+    archive(value.age, value.count);
+}
+
+template <class Archive>
+void serialize(Archive& archive, organisation_usage& value)
+{
+    archive(value.organisation, value.last_request_age, value.charged);
+}
+
+template <class Archive>
+void serialize(Archive& archive, quota_status& value)
+{
+    archive(value.organisations);
+}
+
+template <class Archive>
+void serialize(Archive& archive, sent_requests& value)
+{
+    archive(value.organisation, value.coordinator, value.sent);
+}
+
 template <class Archive>
 void serialize(Archive& archive, slot_request& value)
 {
@@ -39,6 +76,7 @@
     serialize_duration(archive, value.expected_work);
     archive(
         value.request_digest, value.parts, value.repeatable, value.excluded);
+    serialize_name(archive, value.organisation, value.charged);
 }
 
 template <class Archive>
@@ -114,6 +152,18 @@
         value.waiting,
         value.crashed,
         value.leaving);
+    bool has_sent = !value.sent.empty();
+    archive(has_sent);
+    if (has_sent)
+    {
+        archive(value.sent);
+    }
+}
+
+template <class Archive>
+void serialize(Archive& archive, quota_status_packet& value)
+{
+    archive(value.status);
 }
 
 template <class Archive>
--- a/wire/slot_packet.hpp
+++ b/wire/slot_packet.hpp
@@ -44,6 +44,15 @@
     std::vector<serving::crashed_run> crashed;
     /// Runners that announced to this node that they are leaving.
     std::vector<serving::leaving_runner> leaving;
+    /// What this node sent for organisations in slots that other coordinators
+    /// granted.
+    std::vector<serving::sent_requests> sent = {};
+};
+
+/// Charges to the quotas of organisations, sent to the other coordinators.
+struct quota_status_packet
+{
+    serving::quota_status status;
 };
 
 /// Response to a report or a request, with the decisions about its requests.
@@ -70,7 +79,8 @@
     slot_report,
     slot_decisions,
     group_status_packet,
-    first_event>;
+    first_event,
+    quota_status_packet>;
 
 /// Encodes a packet in little-endian binary form.
 std::string encode_slot_packet(const slot_packet& value);
