--- a/core/event.hpp
+++ b/core/event.hpp
@@ -48,6 +48,8 @@
     trait_released = 220,
     request_cut_off = 221,
     access_refused = 230,
+    quota_refused = 240,
+    quota_contact_changed = 241,
 
     // 300: batch jobs.
     job_accepted = 300,
--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -96,6 +96,8 @@
 struct metrics::state
 {
     mutable std::mutex mutex;
+    std::map<std::string, std::map<std::string, std::int64_t>>
+        organisation_gauges;
     std::array<std::int64_t, reason_names.size()> refusals{};
     std::array<std::int64_t, reason_names.size()> retries{};
     /// Refusals by name of the organisation and by reason.
@@ -106,6 +108,25 @@
     std::map<std::string, latency_set, std::less<>> latencies;
 };
 
+namespace
+{
+
+std::string escape_label(const std::string& value)
+{
+    std::string escaped;
+    for (const char letter : value)
+    {
+        if (letter == '\\' || letter == '"')
+        {
+            escaped += '\\';
+        }
+        escaped += letter == '\n' ? ' ' : letter;
+    }
+    return escaped;
+}
+
+} // namespace
+
 metrics::metrics() : values(std::make_unique<state>())
 {
 }
@@ -159,6 +180,13 @@
     this->values->gauges.insert_or_assign(std::string(gauge), value);
 }
 
+void metrics::set_of_organisation(
+    std::string_view gauge, const std::string& organisation, std::int64_t value)
+{
+    const std::lock_guard<std::mutex> lock(this->values->mutex);
+    this->values->organisation_gauges[std::string(gauge)][organisation] = value;
+}
+
 void metrics::observe(std::string_view latency, duration length)
 {
     using seconds = std::chrono::duration<double>;
@@ -202,6 +230,15 @@
         text << "# TYPE chicory_" << name << " gauge\n";
         text << "chicory_" << name << " " << value << "\n";
     }
+    for (const auto& [name, values] : this->values->organisation_gauges)
+    {
+        text << "# TYPE chicory_" << name << " gauge\n";
+        for (const auto& [organisation, value] : values)
+        {
+            text << "chicory_" << name << "{organisation=\""
+                 << escape_label(organisation) << "\"} " << value << "\n";
+        }
+    }
     for (const auto& [name, set] : this->values->latencies)
     {
         write_latency(text, name, set);
--- a/core/metrics.hpp
+++ b/core/metrics.hpp
@@ -43,6 +43,12 @@
     /// Sets a gauge, such as "requests_in_progress".
     void set(std::string_view gauge, std::int64_t value);
 
+    /// Sets a gauge of an organisation. The caller bounds the number of names.
+    void set_of_organisation(
+        std::string_view gauge,
+        const std::string& organisation,
+        std::int64_t value);
+
     /// Records one observation of a latency, such as "first_byte".
     void observe(std::string_view latency, duration length);
 
--- a/core/reason.hpp
+++ b/core/reason.hpp
@@ -65,9 +65,12 @@
     unknown_key,
     malformed_key,
     credentials_stale,
+
+    // Quotas of organisations.
+    over_quota,
 };
 
-inline constexpr enum_table<reason, 43> reason_names = {{
+inline constexpr enum_table<reason, 44> reason_names = {{
     {reason::invalid_request, "invalid_request"},
     {reason::body_too_large, "body_too_large"},
     {reason::unauthenticated, "unauthenticated"},
@@ -111,6 +114,7 @@
     {reason::unknown_key, "unknown_key"},
     {reason::malformed_key, "malformed_key"},
     {reason::credentials_stale, "credentials_stale"},
+    {reason::over_quota, "over_quota"},
 }};
 
 /// Returns the name of a reason, such as "route_limit".
--- a/policy/serving/slot_messages.hpp
+++ b/policy/serving/slot_messages.hpp
@@ -68,6 +68,11 @@
     /// Runners at which the work has failed. A request does not run there
     /// again, an item only if there is no other usable runner.
     std::vector<std::string> excluded;
+    /// Organisation of the caller; empty if there is none or for an item.
+    std::string organisation = {};
+    /// True if an earlier slot of the caller's attempt was charged to the quota
+    /// of its organisation and its work ran.
+    bool charged = false;
 
     bool operator==(const slot_request&) const = default;
 };
@@ -152,6 +157,9 @@
     /// This group has no slot; the request must be sent to the coordinator of
     /// `redirect_target`.
     redirected,
+    /// The organisation has used up its quota; the caller may retry after
+    /// `retry_after`.
+    over_quota,
 };
 
 /// A decision of the coordinator about a request or a slot in use.
--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -1,7 +1,10 @@
 #include "policy/serving/slot_scheduler.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
+#include <set>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -52,6 +55,11 @@
 {
 }
 
+void slot_scheduler::set_quota(organisation_quota* quotas)
+{
+    this->quota = quotas;
+}
+
 std::vector<slot_decision> slot_scheduler::set_runners(
     time_point now, const std::vector<slot_runner>& usable)
 {
@@ -67,13 +75,27 @@
     node_state& state = this->nodes[node];
     if (state.incarnation < incarnation)
     {
-        this->drop_older_processes(node, incarnation);
+        this->drop_older_processes(now, node, incarnation);
         state.incarnation = incarnation;
     }
     state.last_message_at = now;
 }
 
+std::map<slot_id, slot_scheduler::waiting_request>::iterator
+slot_scheduler::remove_unserved(
+    time_point now, std::map<slot_id, waiting_request>::iterator entry)
+{
+    const waiting_request& waiting = entry->second;
+    if (waiting.charged_at && this->quota != nullptr)
+    {
+        this->quota->refund(
+            now, waiting.request.organisation, *waiting.charged_at);
+    }
+    return this->queue.erase(entry);
+}
+
 void slot_scheduler::drop_ended_work(
+    time_point now,
     const std::string& node,
     const std::function<bool(const slot_id&, time_point)>& has_ended)
 {
@@ -96,15 +118,16 @@
          waiting != this->queue.end() && waiting->first.node == node;)
     {
         waiting = has_ended(waiting->first, waiting->second.arrived)
-                      ? this->queue.erase(waiting)
+                      ? this->remove_unserved(now, waiting)
                       : std::next(waiting);
     }
 }
 
 void slot_scheduler::drop_older_processes(
-    const std::string& node, std::uint64_t before)
+    time_point now, const std::string& node, std::uint64_t before)
 {
     this->drop_ended_work(
+        now,
         node,
         [before](const slot_id& id, time_point)
         {
@@ -142,6 +165,12 @@
     {
         this->runners.end_run(found->second.runner);
     }
+    if (const auto slots =
+            this->organisation_slots.find(found->second.organisation);
+        slots != this->organisation_slots.end() && --slots->second <= 0)
+    {
+        this->organisation_slots.erase(slots);
+    }
     this->batch_runs.erase(id);
     this->crashes.on_end(id);
     this->running.erase(found);
@@ -155,8 +184,12 @@
     added.arrived = now;
     added.target_deadline = now + request.target_time_left;
     added.deadline = now + request.time_left;
-    added.is_retry = request.request_digest != 0 &&
-                     this->refused.contains(request.request_digest);
+    if (const auto known = this->refused.find(request.request_digest);
+        request.request_digest != 0 && known != this->refused.end())
+    {
+        added.is_retry = true;
+        added.refused_at = known->second.refused_at;
+    }
     this->queue[request.id] = std::move(added);
     if (request.kind == work_kind::online)
     {
@@ -192,9 +225,72 @@
         return false;
     }
     this->add_waiting(now, request);
+    if (request.kind == work_kind::batch || request.organisation.empty())
+    {
+        return true;
+    }
+    const auto added = this->queue.find(request.id);
+    if (this->charge(out, now, added->second))
+    {
+        return true;
+    }
+    this->queue.erase(added);
+    return false;
+}
+
+bool slot_scheduler::charge(
+    decisions& out, time_point now, waiting_request& waiting)
+{
+    const slot_request& request = waiting.request;
+    waiting.awaits_quota = false;
+    if (this->quota == nullptr || request.charged)
+    {
+        return true;
+    }
+    if (request.redirected)
+    {
+        // The other coordinator admitted it and took back its own charge.
+        this->quota->charge_admitted(now, request.organisation);
+        waiting.charged_at = now;
+        return true;
+    }
+    const quota_decision decision =
+        this->quota->charge(now, request.organisation);
+    if (decision.kind == quota_decision_kind::refused)
+    {
+        out.push_back(
+            {request.id,
+             slot_decision_kind::over_quota,
+             "",
+             decision.retry_after,
+             {}});
+        return false;
+    }
+    waiting.awaits_quota = decision.kind == quota_decision_kind::undecided;
+    if (!waiting.awaits_quota)
+    {
+        waiting.charged_at = now;
+    }
     return true;
 }
 
+void slot_scheduler::charge_undecided(decisions& out, time_point now)
+{
+    if (this->quota == nullptr)
+    {
+        return;
+    }
+    for (const slot_id& id : this->online_queue)
+    {
+        const auto found = this->queue.find(id);
+        if (found != this->queue.end() && found->second.awaits_quota &&
+            !this->charge(out, now, found->second))
+        {
+            this->queue.erase(found);
+        }
+    }
+}
+
 std::vector<slot_decision>
 slot_scheduler::on_request(time_point now, const slot_request& request)
 {
@@ -237,9 +333,20 @@
     if (const auto run = this->running.find(id); run != this->running.end())
     {
         this->record_outcome(now, run->second, outcome);
+        const bool has_run = outcome != slot_outcome::unused &&
+                             outcome != slot_outcome::refused &&
+                             outcome != slot_outcome::unreachable;
+        if (!has_run && run->second.charged_at && this->quota != nullptr)
+        {
+            this->quota->refund(
+                now, run->second.organisation, *run->second.charged_at);
+        }
         this->remove_running(id);
     }
-    this->queue.erase(id);
+    if (const auto waiting = this->queue.find(id); waiting != this->queue.end())
+    {
+        this->remove_unserved(now, waiting);
+    }
     this->dispatch(out, now);
     return out;
 }
@@ -299,7 +406,7 @@
                 this->crashes.quarantine_left(now, found->second.traits))
         {
             out.push_back({id, slot_decision_kind::quarantined, "", *left, {}});
-            this->queue.erase(found);
+            this->remove_unserved(now, found);
         }
     }
 }
@@ -338,6 +445,7 @@
     }
     this->runners.record_silence(now, held);
     this->drop_ended_work(
+        now,
         node,
         [&](const slot_id& id, time_point begun)
         {
@@ -446,6 +554,8 @@
     const time_point due = found->second.target_deadline;
     const duration work = found->second.request.expected_work;
     request_traits traits = std::move(found->second.traits);
+    const std::string organisation = found->second.request.organisation;
+    const std::optional<time_point> charged_at = found->second.charged_at;
     this->refused.erase(found->second.request.request_digest);
     this->queue.erase(found);
     this->add_running(id, kind, runner, now);
@@ -454,6 +564,16 @@
     this->crashes.on_begin(now, id, traits);
     this->running.at(id).traits = std::move(traits);
     this->running.at(id).report_first_event = report_first_event;
+    if (!organisation.empty())
+    {
+        this->running.at(id).organisation = organisation;
+        ++this->organisation_slots[organisation];
+    }
+    if (charged_at && this->quota != nullptr)
+    {
+        this->quota->on_run(now, organisation, *charged_at);
+        this->running.at(id).charged_at = now;
+    }
     if (kind == work_kind::batch)
     {
         this->running.at(id).due = due;
@@ -465,6 +585,7 @@
 
 std::vector<const slot_id*> slot_scheduler::order_online(time_point now)
 {
+    bool has_organisations = false;
     std::vector<std::tuple<int, time_point, const slot_id*>> order;
     for (auto entry = this->online_queue.begin();
          entry != this->online_queue.end();)
@@ -476,13 +597,88 @@
             continue;
         }
         const waiting_request& waiting = found->second;
-        const bool late =
-            waiting.target_deadline < now + this->settings.first_piece_delay;
-        const int rank = waiting.is_retry ? 0 : (late ? 2 : 1);
-        order.emplace_back(rank, waiting.arrived, &found->first);
+        has_organisations =
+            has_organisations || !waiting.request.organisation.empty();
+        order.emplace_back(
+            this->rank_of(now, waiting), waiting.arrived, &found->first);
         ++entry;
     }
-    return sort_ids(std::move(order));
+    std::vector<const slot_id*> ids = sort_ids(std::move(order));
+    return has_organisations ? this->order_by_organisation(now, std::move(ids))
+                             : ids;
+}
+
+int slot_scheduler::rank_of(
+    time_point now, const waiting_request& waiting) const
+{
+    const bool late =
+        waiting.target_deadline < now + this->settings.first_piece_delay;
+    return waiting.is_retry ? 0 : (late ? 2 : 1);
+}
+
+std::vector<const slot_id*> slot_scheduler::order_by_organisation(
+    time_point now, std::vector<const slot_id*> ids) const
+{
+    std::set<std::string_view> active;
+    for (const auto& [organisation, slots] : this->organisation_slots)
+    {
+        active.insert(organisation);
+    }
+    // Within an organisation, retried requests go first in the order of their
+    // refusals, then the others in the order of arrival.
+    std::vector<const waiting_request*> order;
+    for (const slot_id* id : ids)
+    {
+        order.push_back(&this->queue.at(*id));
+        active.insert(order.back()->request.organisation);
+    }
+    std::sort(
+        order.begin(),
+        order.end(),
+        [](const waiting_request* left, const waiting_request* right)
+        {
+            return std::make_tuple(
+                       !left->is_retry,
+                       left->is_retry ? left->refused_at : left->arrived,
+                       std::cref(left->request.id)) <
+                   std::make_tuple(
+                       !right->is_retry,
+                       right->is_retry ? right->refused_at : right->arrived,
+                       std::cref(right->request.id));
+        });
+    const std::int64_t share = std::max<std::int64_t>(
+        1,
+        this->runners.total_slots() /
+            static_cast<std::int64_t>(std::max<std::size_t>(1, active.size())));
+    std::map<std::string_view, std::int64_t> turns;
+    for (const auto& [organisation, slots] : this->organisation_slots)
+    {
+        turns[organisation] = slots;
+    }
+    std::vector<std::tuple<int, std::int64_t, std::int64_t, std::size_t>> keys;
+    for (const waiting_request* waiting : order)
+    {
+        const std::string& organisation = waiting->request.organisation;
+        const std::int64_t turn = turns[organisation]++;
+        int rank = this->rank_of(now, *waiting);
+        if (rank == 0 && turn >= share)
+        {
+            rank = 1;
+        }
+        // An organisation of a lower priority keeps a quarter of its share.
+        const std::int64_t priority =
+            this->quota == nullptr || turn < (share + 3) / 4
+                ? 0
+                : this->quota->priority_of(organisation);
+        keys.emplace_back(rank, priority, turn, keys.size());
+    }
+    std::sort(keys.begin(), keys.end());
+    ids.clear();
+    for (const auto& [rank, priority, turn, index] : keys)
+    {
+        ids.push_back(&this->queue.find(order[index]->request.id)->first);
+    }
+    return ids;
 }
 
 std::vector<const slot_id*> slot_scheduler::order_batch() const
@@ -518,7 +714,8 @@
         }
         const waiting_request& waiting = this->queue.at(*id);
         const slot_request& request = waiting.request;
-        if (!this->crashes.may_begin(now, waiting.traits))
+        if (waiting.awaits_quota ||
+            !this->crashes.may_begin(now, waiting.traits))
         {
             continue;
         }
@@ -624,7 +821,7 @@
     decision.redirect_target = group;
     out.push_back(std::move(decision));
     // This must come last, because the id may be the key of the erased entry.
-    this->queue.erase(id);
+    this->remove_unserved(now, this->queue.find(id));
     return true;
 }
 
@@ -643,7 +840,7 @@
     decision.redirect_target = *group;
     out.push_back(std::move(decision));
     // This must come last, because the id may be the key of the erased entry.
-    this->queue.erase(id);
+    this->remove_unserved(now, this->queue.find(id));
     return true;
 }
 
@@ -663,6 +860,7 @@
     {
         const waiting_request& waiting = this->queue.at(*id);
         if (has_capacity && !waiting.request.redirected &&
+            !waiting.awaits_quota &&
             !this->crashes.is_suspect(waiting.traits) &&
             this->crashes.may_begin(now, waiting.traits))
         {
@@ -780,9 +978,11 @@
     {
         const auto found = this->queue.find(*id);
         const waiting_request& waiting = found->second;
-        if (!this->crashes.may_begin(now, waiting.traits))
+        if (waiting.awaits_quota ||
+            !this->crashes.may_begin(now, waiting.traits))
         {
-            // It waits for the outcome of other runs, not for a slot.
+            // It waits for statuses or the outcome of other runs, not for a
+            // slot.
             continue;
         }
         const time_point expected_start =
@@ -805,11 +1005,13 @@
         --still_waiting;
         if (waiting.request.request_digest != 0)
         {
-            this->refused[waiting.request.request_digest] =
-                now + this->settings.refusal_lifetime;
+            const refused_request known = {
+                waiting.is_retry ? waiting.refused_at : now,
+                now + this->settings.refusal_lifetime};
+            this->refused[waiting.request.request_digest] = known;
         }
         out.push_back({*id, slot_decision_kind::refused, "", retry_after, {}});
-        this->queue.erase(found);
+        this->remove_unserved(now, found);
     }
 }
 
@@ -826,16 +1028,18 @@
     }
     for (const std::string& node : silent)
     {
-        this->drop_older_processes(node, this->nodes.at(node).incarnation + 1);
+        this->drop_older_processes(
+            now, node, this->nodes.at(node).incarnation + 1);
         this->nodes.erase(node);
     }
     std::erase_if(
         this->refused,
         [now](const auto& item)
         {
-            return item.second < now;
+            return item.second.until < now;
         });
     this->crashes.on_tick(now);
+    this->charge_undecided(out, now);
     this->dispatch(out, now);
     this->refuse_late(out, now);
     this->return_redirected_items(out, now);
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -4,6 +4,7 @@
 #include "policy/serving/crash_guard.hpp"
 #include "policy/serving/group_overflow.hpp"
 #include "policy/serving/item_plan.hpp"
+#include "policy/serving/organisation_quota.hpp"
 #include "policy/serving/runner_slots.hpp"
 #include "policy/serving/slot_messages.hpp"
 #include "policy/serving/wait_estimate.hpp"
@@ -80,6 +81,9 @@
 /// - More work than this group has slots for while peer groups have free
 ///   capacity: work that would have to wait is redirected once; see
 ///   `group_overflow`.
+/// - An organisation that sends many times its usual load: requests beyond its
+///   quota are refused at once, and when requests have to wait, organisations
+///   take turns; see `organisation_quota` and `order_by_organisation`.
 /// - Runners that fail or become silent: see `runner_slots`.
 /// - More batch work than can be completed in time: items that
 ///   `choose_deferred` does not defer go first, by due time, then the deferred
@@ -92,6 +96,10 @@
 public:
     explicit slot_scheduler(slot_scheduler_settings initial = {});
 
+    /// Sets the quotas of organisations, which must outlive the scheduler. Null
+    /// if the configuration has no organisations.
+    void set_quota(organisation_quota* quotas);
+
     /// Sets the runners that may get new work. Every function here that returns
     /// decisions may return decisions for any node.
     std::vector<slot_decision>
@@ -161,6 +169,9 @@
         work_kind kind = work_kind::online;
         std::string runner;
         request_traits traits;
+        std::string organisation;
+        /// Time at which the run was charged to its organisation, if it was.
+        std::optional<time_point> charged_at;
         bool report_first_event = false;
         time_point since;
         /// True for a run that was preempted and is not counted any more.
@@ -178,6 +189,20 @@
         time_point target_deadline;
         time_point deadline;
         bool is_retry = false;
+        /// Time of the first refusal of a request that is sent again.
+        time_point refused_at;
+        /// Time at which the request was charged to its organisation, if it
+        /// was.
+        std::optional<time_point> charged_at;
+        /// True while it is not decided whether the request is within the
+        /// quota. It gets no slot meanwhile.
+        bool awaits_quota = false;
+    };
+    struct refused_request
+    {
+        time_point refused_at;
+        /// Time until which the refusal is remembered.
+        time_point until;
     };
     struct node_state
     {
@@ -194,11 +219,30 @@
     /// returns true. Its second argument is the time at which the run or the
     /// wait began.
     void drop_ended_work(
+        time_point now,
         const std::string& node,
         const std::function<bool(const slot_id&, time_point)>& has_ended);
     /// Drops the work of processes of a node that started before an
     /// incarnation.
-    void drop_older_processes(const std::string& node, std::uint64_t before);
+    void drop_older_processes(
+        time_point now, const std::string& node, std::uint64_t before);
+    /// Removes a request from the queue that does not run here, and takes back
+    /// its charge.
+    std::map<slot_id, waiting_request>::iterator remove_unserved(
+        time_point now, std::map<slot_id, waiting_request>::iterator entry);
+    /// Charges a request to its organisation. Returns false and refuses the
+    /// request if it is beyond the quota.
+    bool charge(decisions& out, time_point now, waiting_request& waiting);
+    /// Charges the requests for which this was not decided yet.
+    void charge_undecided(decisions& out, time_point now);
+    /// Sorts online requests within their ranks by organisation: by priority,
+    /// and then so that the organisation with the fewest slots in use and
+    /// earlier requests goes first. A retried request of an organisation that
+    /// has its share of the slots does not precede the requests of others.
+    std::vector<const slot_id*> order_by_organisation(
+        time_point now, std::vector<const slot_id*> ids) const;
+    /// Returns the rank of a request in the order of service.
+    int rank_of(time_point now, const waiting_request& waiting) const;
     void add_running(
         const slot_id& id,
         work_kind kind,
@@ -271,9 +315,11 @@
     /// queue.
     std::set<slot_id> online_queue;
     std::map<std::string, node_state> nodes;
-    /// Digests of refused requests and the time until which they are
-    /// remembered.
-    std::map<std::uint64_t, time_point> refused;
+    /// Digests of refused requests.
+    std::map<std::uint64_t, refused_request> refused;
+    organisation_quota* quota = nullptr;
+    /// Slots in use by organisation.
+    std::map<std::string, std::int64_t> organisation_slots;
     crash_guard crashes;
     group_overflow overflow;
     double mean_online_us = 0.0;
--- a/servers/node/node_members.hpp
+++ b/servers/node/node_members.hpp
@@ -62,6 +62,9 @@
     /// is leaving.
     std::vector<serving::live_node> live_nodes() const;
 
+    /// Returns the ids of the entry VMs that announced that they are leaving.
+    std::vector<std::string> leaving_nodes() const;
+
     /// Returns a version that increases with each change of the live nodes.
     std::uint64_t version() const;
 
--- a/servers/node/node_settings.hpp
+++ b/servers/node/node_settings.hpp
@@ -77,6 +77,8 @@
     duration result_lifetime = std::chrono::seconds(120);
     response_size_limits bounds;
     serving::key_freshness_settings key_freshness;
+    /// Window and tolerance of the quotas of organisations.
+    serving::organisation_quota_settings quotas;
     severity log_level = severity::info;
 };
 
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -259,6 +259,7 @@
     requirements.organisation = this->organisation;
     requirements.priority = serving::choose_priority(
         *this->configuration, *this->route, this->organisation);
+    requirements.charged = this->runs > 0;
     requirements.excluded = this->failed_runners;
     requirements.still_hold = [this, draw]
     {
@@ -339,6 +340,12 @@
             slot.direct ? reason::no_runner : reason::queue_time);
         co_return step::done;
     }
+    if (slot.kind == slot_result::result_kind::over_quota)
+    {
+        this->refused_slot = slot.id.number;
+        co_await this->refuse(slot.retry_after, reason::over_quota);
+        co_return step::done;
+    }
     if (slot.kind == slot_result::result_kind::quarantined)
     {
         log_event(
@@ -775,6 +782,19 @@
     this->services.counters.count_refusal(why);
     this->services.counters.count_organisation_refusal(this->organisation, why);
     this->services.stop.refused += why == reason::draining ? 1 : 0;
+    if (why == reason::over_quota)
+    {
+        log_event(
+            event::request_refused,
+            {{"request", this->parameters.attempt_id},
+             {"reason", std::string(name_of(why))},
+             {"organisation", this->organisation},
+             {"slot", this->refused_slot},
+             {"retry_after_ms", retry_after.count() / 1000}});
+        co_await this->exchange.respond(
+            platform::make_quota_refusal(retry_after, name_of(why)));
+        co_return;
+    }
     log_event(
         event::request_refused,
         {{"request", this->parameters.attempt_id},
--- a/servers/node/slot_coordinator.cpp
+++ b/servers/node/slot_coordinator.cpp
@@ -21,6 +21,8 @@
 /// Time for which the sender of a group's status is considered the group's
 /// coordinator.
 constexpr std::chrono::milliseconds group_status_lifetime(500);
+/// Time between two log lines about the quota of an organisation.
+constexpr std::chrono::milliseconds quota_log_interval(1000);
 
 } // namespace
 
@@ -29,14 +31,45 @@
     fleet_state& initial_fleet,
     slot_topology& initial_topology,
     std::string vm_id,
+    const serving::organisation_quota_settings& initial_quotas,
     send_hook hook,
     quarantine_hook initial_on_quarantine)
     : timer(io), fleet(initial_fleet), topology(initial_topology),
       self(std::move(vm_id)), send(std::move(hook)),
-      on_quarantine(std::move(initial_on_quarantine))
+      on_quarantine(std::move(initial_on_quarantine)),
+      quotas(
+          initial_quotas,
+          [this](const std::string& name)
+          {
+              const auto configuration = this->fleet.configuration();
+              const serving::organisation* found =
+                  configuration == nullptr
+                      ? nullptr
+                      : configuration->organisations.find_by_name(name);
+              return found == nullptr
+                         ? std::nullopt
+                         : std::optional(
+                               serving::make_organisation_limit(*found));
+          }),
+      contacts(this->self)
 {
 }
 
+void slot_coordinator::set_leaving_nodes(leaving_hook hook)
+{
+    this->leaving_nodes = std::move(hook);
+}
+
+std::size_t slot_coordinator::known_nodes() const
+{
+    return this->contacts.known_nodes();
+}
+
+const serving::organisation_quota& slot_coordinator::quota() const
+{
+    return this->quotas;
+}
+
 void slot_coordinator::start()
 {
     this->tick();
@@ -46,6 +79,21 @@
 {
     const time_point now = read_monotonic_clock();
     this->refresh_runners(now, false);
+    if (this->has_organisations())
+    {
+        const serving::quota_contact contact = this->contacts.find_contact(now);
+        this->quotas.set_contact(now, contact);
+        this->quotas.on_tick(now);
+        const bool in_majority = contact.in_majority || contact.undecided;
+        if (in_majority != std::exchange(this->was_in_majority, in_majority))
+        {
+            log_event(
+                event::quota_contact_changed,
+                {{"in_majority", in_majority ? 1 : 0},
+                 {"known_nodes", contact.known_nodes},
+                 {"coordinators", contact.coordinators}});
+        }
+    }
     for (auto& [group, scheduler] : this->groups)
     {
         this->send_decisions(group, "", scheduler.on_tick(now));
@@ -55,6 +103,12 @@
     {
         this->next_status = now + duration(group_status_interval);
         this->send_group_status(now);
+        if (this->has_organisations())
+        {
+            this->update_quota_contacts(now);
+            this->send_quota_status(now);
+            this->log_quotas(now);
+        }
     }
     this->timer.expires_after(tick_interval);
     this->timer.async_wait(
@@ -94,6 +148,15 @@
     const auto [entry, added] = this->groups.try_emplace(group);
     if (added)
     {
+        entry->second.set_quota(&this->quotas);
+        if (this->has_organisations())
+        {
+            this->update_quota_contacts(now);
+            this->quotas.on_takeover(now);
+            this->contacts.on_takeover(now);
+            this->send_quota_status(now);
+            this->quotas.set_contact(now, this->contacts.find_contact(now));
+        }
         entry->second.set_runners(
             now, this->topology.usable_runners(now, group));
         for (const auto& [trait, known] : this->quarantines)
@@ -192,6 +255,93 @@
          {"retry_after_ms", decision.retry_after.count() / 1000}});
 }
 
+void slot_coordinator::log_quotas(time_point now)
+{
+    if (now < this->next_quota_log)
+    {
+        return;
+    }
+    this->next_quota_log = now + duration(quota_log_interval);
+    for (const auto& [name, counters] : this->quotas.counters())
+    {
+        serving::quota_counters& logged = this->logged_quotas[name];
+        if (counters.refused > logged.refused)
+        {
+            log_event(
+                event::quota_refused,
+                {{"organisation", name},
+                 {"refused", counters.refused - logged.refused},
+                 {"granted", counters.charged - logged.charged},
+                 {"refunded", counters.refunded - logged.refunded},
+                 {"in_window", this->quotas.count_in_window(now, name)}});
+        }
+        logged = counters;
+    }
+}
+
+bool slot_coordinator::has_organisations() const
+{
+    const auto configuration = this->fleet.configuration();
+    return configuration != nullptr && configuration->organisations.is_active();
+}
+
+void slot_coordinator::update_quota_contacts(time_point now)
+{
+    std::vector<const std::vector<std::string>*> orders;
+    for (const std::string& service : this->fleet.runners().services())
+    {
+        for (const serving::runner_group& group :
+             this->topology.grouping(service).groups())
+        {
+            orders.push_back(&this->topology.coordinators(group));
+        }
+    }
+    std::vector<std::string> live;
+    for (const serving::live_node& node : this->topology.live_nodes())
+    {
+        live.push_back(node.id);
+    }
+    this->contacts.set_nodes(
+        now,
+        live,
+        this->leaving_nodes ? this->leaving_nodes()
+                            : std::vector<std::string>());
+    this->contacts.set_participants(
+        serving::choose_quota_participants(orders),
+        serving::count_preferred_coordinators(orders));
+}
+
+void slot_coordinator::send_quota_status(time_point now)
+{
+    if (this->groups.empty() && !this->contacts.is_participant())
+    {
+        return;
+    }
+    const wire::quota_status_packet packet = {this->quotas.make_status(now)};
+    for (const std::string& node : this->contacts.receivers(now))
+    {
+        this->send(node, packet);
+    }
+}
+
+void slot_coordinator::handle_quota_status(
+    time_point now,
+    const std::string& sender,
+    const serving::quota_status& status)
+{
+    if (!this->has_organisations() || sender == this->self)
+    {
+        return;
+    }
+    this->quotas.on_status(now, sender, status);
+    if (this->contacts.on_heard(now, sender))
+    {
+        this->send(
+            sender,
+            wire::quota_status_packet{this->quotas.make_status(now, true)});
+    }
+}
+
 void slot_coordinator::on_packet(
     const std::string& sender, const wire::slot_packet& packet)
 {
@@ -218,6 +368,11 @@
     {
         this->handle_group_status(now, sender, *status);
     }
+    else if (
+        const auto* usage = std::get_if<wire::quota_status_packet>(&packet))
+    {
+        this->handle_quota_status(now, sender, usage->status);
+    }
 }
 
 void slot_coordinator::handle_request(
@@ -281,6 +436,11 @@
     {
         this->send_decisions(report.group, "", scheduler.on_crash(now, run));
     }
+    if (this->has_organisations())
+    {
+        this->quotas.on_report(
+            now, report.node + "/" + to_text(report.group), report.sent);
+    }
     this->send_decisions(
         report.group,
         report.node,
--- a/servers/node/slot_coordinator.hpp
+++ b/servers/node/slot_coordinator.hpp
@@ -37,6 +37,7 @@
         fleet_state& initial_fleet,
         slot_topology& initial_topology,
         std::string vm_id,
+        const serving::organisation_quota_settings& quotas,
         send_hook hook,
         quarantine_hook initial_on_quarantine);
 
@@ -54,6 +55,17 @@
     const std::map<serving::runner_group, serving::slot_scheduler>&
     schedulers() const;
 
+    /// Returns the quotas of organisations, for metrics.
+    const serving::organisation_quota& quota() const;
+
+    /// Sets the nodes that announced that they are leaving, the source of the
+    /// nodes that may be in use.
+    using leaving_hook = std::function<std::vector<std::string>()>;
+    void set_leaving_nodes(leaving_hook hook);
+
+    /// Returns the number of nodes that may be in use.
+    std::size_t known_nodes() const;
+
 private:
     /// Node that coordinates another group, according to its last status.
     struct known_coordinator
@@ -89,6 +101,19 @@
     /// capacity to its peer groups.
     void add_own_groups(time_point now);
     void send_group_status(time_point now);
+    /// Returns whether the configuration contains organisations.
+    bool has_organisations() const;
+    /// Updates the nodes that exchange quota statuses when the members or the
+    /// runners have changed.
+    void update_quota_contacts(time_point now);
+    void send_quota_status(time_point now);
+    void handle_quota_status(
+        time_point now,
+        const std::string& sender,
+        const serving::quota_status& status);
+    /// Writes a line for each organisation that was refused since the last
+    /// call.
+    void log_quotas(time_point now);
     std::string
     choose_status_receiver(time_point now, const serving::runner_group& group);
 
@@ -101,6 +126,13 @@
     /// Quarantines of the fleet and the times at which they end.
     std::map<std::uint64_t, std::pair<time_point, serving::trait_quarantine>>
         quarantines;
+    leaving_hook leaving_nodes;
+    serving::organisation_quota quotas;
+    serving::quota_contacts contacts;
+    bool was_in_majority = true;
+    time_point next_quota_log;
+    /// Counters of each organisation at the last log line.
+    std::map<std::string, serving::quota_counters> logged_quotas;
     std::map<serving::runner_group, serving::slot_scheduler> groups;
     std::map<serving::runner_group, known_coordinator> coordinators;
     time_point next_status;
