Access: Test waits without contact; allow large configurations

A request that gets its slot when keys may be out of date is refused; a test guards against its run. Responses of the store and of other nodes may have 8 MB, as a configuration with 23,000 organisations has 2.5 MB before base64. chicoryctl explain takes access_refused as the end of a request. access_test passes.

--- a/servers/control_client/log_explanation.cpp
+++ b/servers/control_client/log_explanation.cpp
@@ -19,7 +19,8 @@
 constexpr std::int64_t microseconds_per_second = 1000000;
 
 /// Events that end a request, an item or a job.
-constexpr std::array<std::string_view, 9> final_events = {
+constexpr std::array<std::string_view, 10> final_events = {
+    "access_refused",
     "request_refused",
     "request_failed",
     "request_completed",
--- a/servers/node/node_settings.hpp
+++ b/servers/node/node_settings.hpp
@@ -31,13 +31,14 @@
     std::size_t item_text_bytes = std::size_t(256) << 10U;
     /// Late responses to earlier requests that are discarded on a connection.
     std::size_t discarded_bytes = std::size_t(256) << 10U;
-    /// Response of the store with records. It returns up to 1 MB of values,
-    /// which base64 makes a third larger.
-    std::size_t records_bytes = std::size_t(2) << 20U;
+    /// Response of the store with records. A configuration with 23,000
+    /// organisations has 2.5 MB, and some stores take records of 4 MB, which
+    /// base64 makes a third larger.
+    std::size_t records_bytes = std::size_t(8) << 20U;
     /// Object of the store.
     std::size_t object_bytes = std::size_t(8) << 20U;
     /// Fleet state that another node sends.
-    std::size_t fleet_state_bytes = std::size_t(4) << 20U;
+    std::size_t fleet_state_bytes = std::size_t(8) << 20U;
 };
 
 /// Settings of a node, that is the chicory-node process of an entry VM.
--- a/tests/servers/node/access_test.cpp
+++ b/tests/servers/node/access_test.cpp
@@ -217,12 +217,40 @@
             .status;
     }
 
+    /// Starts with a runner of one slot, which a stream of 3 s holds.
+    void start_with_full_runner()
+    {
+        std::string entry = this->runner.entry("ready");
+        const std::string slots = R"("slots":8)";
+        entry.replace(entry.find(slots), slots.size(), R"("slots":1)");
+        this->store.put("servers", "", "i-1", entry);
+        this->start(make_configuration(1, north_and_south));
+        this->runner.events = 30;
+        this->runner.event_time = 100ms;
+        this->wait_until(
+            [this]
+            {
+                if (this->streaming == nullptr || this->streaming->status != 0)
+                {
+                    this->streaming = this->send_in_background(
+                        this->settings.requests,
+                        this->make_request(
+                            "POST",
+                            "/ask/1",
+                            {{"x-credential", "k-north"}},
+                            "a"));
+                }
+                return this->runner.arrivals.size() == 1;
+            });
+    }
+
     asio::io_context io{1};
     standins::store_standin store;
     standins::engine_standin runner;
     net::http_client http;
     node_settings settings;
     std::unique_ptr<node_process> process;
+    std::shared_ptr<net::http_response> streaming;
     int sent = 0;
 };
 
@@ -401,34 +429,44 @@
 // instead of run, and the stream of the same key that holds the slot goes on.
 TEST_F(access_test, a_request_that_waits_is_refused_when_its_key_is_revoked)
 {
-    std::string entry = this->runner.entry("ready");
-    const std::string slots = R"("slots":8)";
-    entry.replace(entry.find(slots), slots.size(), R"("slots":1)");
-    this->store.put("servers", "", "i-1", entry);
-    this->start(make_configuration(1, north_and_south));
-    this->runner.events = 30;
-    this->runner.event_time = 100ms;
-    const auto streaming = this->send_in_background(
+    this->start_with_full_runner();
+    const auto waiting = this->send_in_background(
         this->settings.requests,
-        this->make_request("POST", "/ask/1", north, "a"));
+        this->make_request("POST", "/ask/2", north, "b"));
+    this->io.run_for(300ms);
+    ASSERT_EQ(waiting->status, 0);
+    this->configure(make_configuration(2, north_without_first_key));
     this->wait_until(
-        [this]
+        [&]
         {
-            return this->runner.arrivals.size() == 1;
+            return waiting->status != 0 && this->streaming->status != 0;
         });
+    EXPECT_EQ(waiting->status, 401);
+    EXPECT_EQ(this->streaming->status, 200);
+    EXPECT_EQ(this->runner.arrivals.size(), 1U);
+}
+
+// A request that was accepted with current keys gets its slot when they may be
+// out of date: no configuration arrived meanwhile that would have ended its
+// wait.
+TEST_F(access_test, a_request_that_waited_too_long_without_contact_is_not_run)
+{
+    this->settings.key_freshness = {true, revocation_limit};
+    this->start_with_full_runner();
     const auto waiting = this->send_in_background(
         this->settings.requests,
         this->make_request("POST", "/ask/2", north, "b"));
-    this->io.run_for(300ms);
+    this->io.run_for(100ms);
     ASSERT_EQ(waiting->status, 0);
-    this->configure(make_configuration(2, north_without_first_key));
+    this->store.fault = standins::store_fault::unavailable;
     this->wait_until(
         [&]
         {
-            return waiting->status != 0 && streaming->status != 0;
+            return waiting->status != 0 && this->streaming->status != 0;
         });
-    EXPECT_EQ(waiting->status, 401);
-    EXPECT_EQ(streaming->status, 200);
+    EXPECT_EQ(waiting->status, 503);
+    EXPECT_EQ(waiting->body, "credentials_stale");
+    EXPECT_EQ(this->streaming->status, 200);
     EXPECT_EQ(this->runner.arrivals.size(), 1U);
 }
 
