Node: Bound and count the memory held for slow callers and runners

A node waited for each write to a caller before it read further from the runner, so that a slow caller held a slot and made the runner cut off the response, and bodies were held without a limit over all requests.

The attempts of a request share one copy of its body.

--- a/core/event.cpp
+++ b/core/event.cpp
@@ -60,6 +60,7 @@
         {trait_quarantined, "trait_quarantined", error, "Requests that have all of `companions` crashed runners and are refused for `time_left_ms`."},
         {trait_released, "trait_released", info, "Requests with a quarantined trait may run again: a run showed that it is good, or nothing used it for long."},
         {request_cut_off, "request_cut_off", warning, "This process ended a request that may have run before its response was complete."},
+        {response_reading_paused, "response_reading_paused", info, "The caller is so far behind that its response is no longer read from the runner until it has read more; logged once for a request."},
 
         {job_accepted, "job_accepted", info, "A batch job was accepted."},
         {job_refused, "job_refused", info, "A batch job was not accepted."},
--- a/core/event.hpp
+++ b/core/event.hpp
@@ -47,6 +47,7 @@
     trait_quarantined = 219,
     trait_released = 220,
     request_cut_off = 221,
+    response_reading_paused = 222,
 
     // 300: batch jobs.
     job_accepted = 300,
--- a/core/reason.hpp
+++ b/core/reason.hpp
@@ -30,6 +30,7 @@
     deadline_too_short,
     retry_budget_spent,
     attempts_exhausted,
+    out_of_memory_budget,
 
     // Runners and links.
     no_runner,
@@ -61,7 +62,7 @@
     weight_store_limited,
 };
 
-inline constexpr enum_table<reason, 39> reason_names = {{
+inline constexpr enum_table<reason, 40> reason_names = {{
     {reason::invalid_request, "invalid_request"},
     {reason::body_too_large, "body_too_large"},
     {reason::unauthenticated, "unauthenticated"},
@@ -78,6 +79,7 @@
     {reason::deadline_too_short, "deadline_too_short"},
     {reason::retry_budget_spent, "retry_budget_spent"},
     {reason::attempts_exhausted, "attempts_exhausted"},
+    {reason::out_of_memory_budget, "out_of_memory_budget"},
     {reason::no_runner, "no_runner"},
     {reason::runner_full, "runner_full"},
     {reason::runner_leaving, "runner_leaving"},
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -73,10 +73,11 @@
     return found == headers.end() ? std::string() : found->second;
 }
 
-http::request<http::string_body>
-make_request(const endpoint& server, http_request source)
+/// Returns the message of a request. It refers to the body of the source.
+http::request<http::span_body<const char>>
+make_request(const endpoint& server, const http_request& source)
 {
-    http::request<http::string_body> request;
+    http::request<http::span_body<const char>> request;
     request.version(11);
     request.method_string(source.method);
     request.target(source.target);
@@ -85,7 +86,9 @@
     {
         request.set(name, value);
     }
-    request.body() = std::move(source.body);
+    const std::string& body =
+        source.shared_body == nullptr ? source.body : *source.shared_body;
+    request.body() = beast::span<const char>(body.data(), body.size());
     request.prepare_payload();
     return request;
 }
@@ -501,8 +504,8 @@
         co_return outcome;
     }
     link->stream.expires_at(started + limits.head);
-    const http::request<http::string_body> message =
-        make_request(server, std::move(request));
+    const http::request<http::span_body<const char>> message =
+        make_request(server, request);
     link->last_echo = echo;
     outcome.sent = send_state::maybe_sent;
     auto [write_code, written] =
@@ -545,7 +548,7 @@
     http_stream& stream,
     time_point until,
     std::size_t max_bytes,
-    std::function<void()> on_piece)
+    std::function<void(std::size_t)> on_piece)
 {
     std::string body;
     while (true)
@@ -569,7 +572,7 @@
         }
         if (on_piece)
         {
-            on_piece();
+            on_piece(body.size() + piece.value().size());
         }
         if (body.size() + piece.value().size() > max_bytes)
         {
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -48,13 +48,14 @@
 };
 
 /// Reads the whole body of a response. `on_piece` is called after each received
-/// piece; it may be empty. Errors: those of `read_some`; timeout when the body
-/// is not complete by `until`; malformed when it is longer than `max_bytes`.
+/// piece with the number of bytes so far; it may be empty. Errors: those of
+/// `read_some`; timeout when the body is not complete by `until`; malformed
+/// when it is longer than `max_bytes`.
 boost::asio::awaitable<result<std::string>> read_whole(
     http_stream& stream,
     time_point until,
     std::size_t max_bytes,
-    std::function<void()> on_piece = {});
+    std::function<void(std::size_t)> on_piece = {});
 
 /// Cancels a call while `http_client::open` is in progress.
 class http_cancellation
--- a/net/http_message.hpp
+++ b/net/http_message.hpp
@@ -2,6 +2,7 @@
 #define CHICORY_NET_HTTP_MESSAGE_HPP
 
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -18,6 +19,9 @@
     std::string target = "/";
     http_headers headers;
     std::string body;
+    /// Body that is shared with the sender and sent in place of `body`; null
+    /// for none. A body that may be sent again is not copied for each attempt.
+    std::shared_ptr<const std::string> shared_body = nullptr;
 };
 
 /// An HTTP response whose body is in memory.
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -16,6 +16,8 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
+#include <deque>
 #include <optional>
 #include <set>
 #include <sstream>
@@ -33,11 +35,14 @@
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_size = 65536;
+/// Size of the blocks in which unsent bytes are buffered.
+constexpr std::size_t send_block_size = 16384;
 constexpr std::size_t first_read_size = 4096;
 /// Limits on what is discarded from the peer of a connection after the
-/// response.
+/// response. A body of the usual maximum of 4 MB that is refused while it
+/// arrives is discarded whole.
 constexpr std::chrono::seconds discard_limit(1);
-constexpr std::size_t max_discarded_bytes = std::size_t(1) << 20U;
+constexpr std::size_t max_discarded_bytes = std::size_t(8) << 20U;
 /// Largest number of connections that are accepted from a backlog at the end.
 constexpr int max_backlog = 4096;
 /// Time that callers have, after the listener was closed, to send a request
@@ -135,6 +140,110 @@
     bool accepting = false;
 };
 
+/// Bytes of a response that the connection has not accepted yet.
+class send_buffer : public std::enable_shared_from_this<send_buffer>
+{
+public:
+    send_buffer(std::shared_ptr<server_connection> target, duration write_limit)
+        : link(std::move(target)), limit(write_limit)
+    {
+    }
+
+    /// Adds bytes. A block never grows beyond its first allocation, as a write
+    /// may refer to it.
+    void append(std::string_view bytes)
+    {
+        while (!bytes.empty())
+        {
+            if (this->blocks.empty() ||
+                this->blocks.back().size() == send_block_size)
+            {
+                this->blocks.emplace_back().reserve(send_block_size);
+            }
+            std::string& block = this->blocks.back();
+            const std::string_view part =
+                bytes.substr(0, send_block_size - block.size());
+            block += part;
+            this->unsent += part.size();
+            bytes.remove_prefix(part.size());
+        }
+    }
+
+    /// Begins to send the buffered bytes, unless this is in progress.
+    void flush()
+    {
+        if (this->unsent == 0 || std::exchange(this->writing, true))
+        {
+            return;
+        }
+        const std::string& block = this->blocks.front();
+        this->link->stream.expires_after(this->limit);
+        this->link->stream.async_write_some(
+            asio::buffer(
+                block.data() + this->offset, block.size() - this->offset),
+            [self = this->shared_from_this()](
+                beast::error_code code, std::size_t count)
+            {
+                self->on_written(code, count);
+            });
+    }
+
+    std::size_t size() const
+    {
+        return this->unsent;
+    }
+
+    bool has_failed() const
+    {
+        return this->failed;
+    }
+
+    /// An empty function detaches the buffer from its exchange.
+    void set_progress_hook(std::function<void(bool)> hook)
+    {
+        this->on_progress = std::move(hook);
+    }
+
+private:
+    void on_written(beast::error_code code, std::size_t count)
+    {
+        this->writing = false;
+        if (code)
+        {
+            this->failed = true;
+            this->unsent = 0;
+            this->blocks.clear();
+        }
+        else
+        {
+            this->unsent -= count;
+            this->offset += count;
+            if (this->offset == this->blocks.front().size())
+            {
+                this->blocks.pop_front();
+                this->offset = 0;
+            }
+            this->flush();
+        }
+        // Copied, because the function may replace itself.
+        const std::function<void(bool)> hook = this->on_progress;
+        if (hook)
+        {
+            hook(!code);
+        }
+    }
+
+    std::shared_ptr<server_connection> link;
+    duration limit;
+    std::deque<std::string> blocks;
+    /// Bytes of the first block that are sent.
+    std::size_t offset = 0;
+    std::size_t unsent = 0;
+    bool writing = false;
+    bool failed = false;
+    std::function<void(bool)> on_progress;
+};
+
 class beast_exchange final : public http_exchange
 {
 public:
@@ -153,6 +262,10 @@
     ~beast_exchange() override
     {
         *this->active = false;
+        if (this->unsent != nullptr)
+        {
+            this->unsent->set_progress_hook({});
+        }
     }
 
     /// Reads the head of the request. Returns false when the connection must be
@@ -219,9 +332,9 @@
                 co_return make_peer_error(code);
             }
         }
-        this->piece.resize(read_size);
         while (!this->parser.is_done())
         {
+            this->piece.resize(read_size);
             this->parser.get().body().data = this->piece.data();
             this->parser.get().body().size = this->piece.size();
             this->link->stream.expires_after(this->options->limits.body);
@@ -241,6 +354,9 @@
                 co_return this->piece.substr(0, length);
             }
         }
+        // The request may stay in progress for long, and needs the buffer no
+        // more.
+        std::string().swap(this->piece);
         co_return std::string();
     }
 
@@ -300,6 +416,9 @@
         http::response<http::empty_body> response;
         this->fill_head(response, source);
         response.chunked(true);
+        // Lets `send_chunk` return when the connection accepts no more.
+        beast::error_code ignored;
+        this->link->stream.socket().non_blocking(true, ignored);
         http::response_serializer<http::empty_body> serializer(response);
         this->started = true;
         this->link->stream.expires_after(this->options->limits.write);
@@ -328,8 +447,95 @@
         co_return boost::outcome_v2::success();
     }
 
+    result<void> send_chunk(std::string_view bytes) override
+    {
+        if (this->unsent != nullptr && this->unsent->has_failed())
+        {
+            this->broken = true;
+        }
+        if (this->broken || this->abandoned)
+        {
+            return make_error(
+                error_kind::unavailable,
+                "response: expected a connection, found one that broke");
+        }
+        static constexpr std::string_view line_end = "\r\n";
+        std::array<char, 24> size_line{};
+        char* const size_end = std::to_chars(
+                                   size_line.data(),
+                                   size_line.data() + size_line.size(),
+                                   bytes.size(),
+                                   16)
+                                   .ptr;
+        const std::array<std::string_view, 4> parts = {
+            std::string_view(
+                size_line.data(),
+                static_cast<std::size_t>(size_end - size_line.data())),
+            line_end,
+            bytes,
+            line_end};
+        std::size_t sent = 0;
+        if (this->unsent_bytes() == 0)
+        {
+            std::array<asio::const_buffer, 4> buffers;
+            std::transform(
+                parts.begin(),
+                parts.end(),
+                buffers.begin(),
+                [](std::string_view part)
+                {
+                    return asio::buffer(part.data(), part.size());
+                });
+            beast::error_code code;
+            sent = this->link->stream.socket().write_some(buffers, code);
+            if (code && code != asio::error::would_block)
+            {
+                this->broken = true;
+                return make_peer_error(code);
+            }
+        }
+        for (std::string_view part : parts)
+        {
+            const std::size_t skipped = std::min(sent, part.size());
+            sent -= skipped;
+            part.remove_prefix(skipped);
+            if (!part.empty())
+            {
+                this->buffer_unsent(part);
+            }
+        }
+        if (this->unsent != nullptr)
+        {
+            this->unsent->flush();
+        }
+        return boost::outcome_v2::success();
+    }
+
+    std::size_t unsent_bytes() const override
+    {
+        return this->unsent == nullptr ? 0 : this->unsent->size();
+    }
+
+    void set_progress_hook(std::function<void(bool)> hook) override
+    {
+        this->on_progress = std::move(hook);
+        if (this->unsent != nullptr)
+        {
+            this->unsent->set_progress_hook(this->on_progress);
+        }
+    }
+
     asio::awaitable<result<void>> end_stream() override
     {
+        if (this->unsent_bytes() > 0 ||
+            (this->unsent != nullptr && this->unsent->has_failed()))
+        {
+            this->broken = true;
+            co_return make_error(
+                error_kind::unavailable,
+                "response: expected that all bytes were sent, found " +
+                    std::to_string(this->unsent_bytes()) + " left");
+        }
         this->finished = true;
         this->link->stream.expires_after(this->options->limits.write);
         auto [code, count] = co_await asio::async_write(
@@ -444,6 +650,17 @@
         socket.write_some(asio::buffer(text.str()), ignored);
     }
 
+    void buffer_unsent(std::string_view bytes)
+    {
+        if (this->unsent == nullptr)
+        {
+            this->unsent = std::make_shared<send_buffer>(
+                this->link, this->options->limits.write);
+            this->unsent->set_progress_hook(this->on_progress);
+        }
+        this->unsent->append(bytes);
+    }
+
     /// Copies the parsed method, target and headers to `request`.
     void copy_head()
     {
@@ -488,6 +705,9 @@
     http::request_parser<http::buffer_body> parser;
     http_request request;
     std::string piece;
+    std::function<void(bool)> on_progress;
+    /// Null until the connection does not accept a chunk at once.
+    std::shared_ptr<send_buffer> unsent;
     bool expects_continue = false;
     bool keep_alive = false;
     bool must_close = false;
--- a/net/http_server.hpp
+++ b/net/http_server.hpp
@@ -72,7 +72,22 @@
     virtual boost::asio::awaitable<result<void>>
     write_chunk(std::string_view bytes) = 0;
 
-    /// Sends the end of the body.
+    /// Sends a piece of the body without waiting for the peer: bytes that the
+    /// connection does not accept at once are buffered and sent later. The
+    /// buffer has no limit; see `unsent_bytes`. Must not be mixed with
+    /// `write_chunk` in one response.
+    virtual result<void> send_chunk(std::string_view bytes) = 0;
+
+    /// Returns the number of buffered bytes.
+    virtual std::size_t unsent_bytes() const = 0;
+
+    /// Sets the function that is called when the connection has accepted some
+    /// of the buffered bytes. Its argument is false when they are lost because
+    /// the connection broke.
+    virtual void
+    set_progress_hook(std::function<void(bool is_open)> on_progress) = 0;
+
+    /// Sends the end of the body. Must be called when no bytes are buffered.
     virtual boost::asio::awaitable<result<void>> end_stream() = 0;
 
     /// Calls `on_disconnect` once with the side that closed the connection if
--- a/policy/serving/serving.hpp
+++ b/policy/serving/serving.hpp
@@ -15,6 +15,7 @@
 #include "policy/serving/item_retry.hpp"
 #include "policy/serving/job_ownership.hpp"
 #include "policy/serving/job_record.hpp"
+#include "policy/serving/memory_budget.hpp"
 #include "policy/serving/part_digests.hpp"
 #include "policy/serving/runner_directory.hpp"
 #include "policy/serving/runner_group.hpp"
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -21,6 +21,9 @@
 constexpr int status_unavailable = 503;
 /// Retry delay for callers of a node that has no configuration yet.
 constexpr std::chrono::milliseconds no_configuration_retry(500);
+/// Retry delay for requests that are refused for lack of memory: a request that
+/// is in progress ends within about this time.
+constexpr std::chrono::milliseconds memory_retry(300);
 constexpr std::chrono::milliseconds drain_poll(50);
 /// Polls after which the process exits although answers are not sent yet.
 constexpr int max_exit_polls = 3;
@@ -59,6 +62,8 @@
 node_process::node_process(asio::io_context& io, node_settings source)
     : context(io), settings(std::move(source)),
       incarnation(static_cast<std::uint64_t>(read_wall_clock_ms())),
+      memory(std::make_shared<node_memory>(serving::memory_budget(
+          serving::divide_memory(this->settings.memory_mb)))),
       store(
           io.get_executor(),
           make_store_settings(this->settings),
@@ -162,7 +167,8 @@
            this->runners,
            this->counters,
            this->settings.bounds,
-           this->stop},
+           this->stop,
+           this->memory},
           this->jobs,
           this->settings.vm_id,
           [this]
@@ -368,6 +374,22 @@
         platform::make_entry_response(addresses, chosen.time_to_live));
 }
 
+void node_process::set_memory_gauges()
+{
+    const serving::memory_budget& budget = this->memory->budget;
+    const std::array<std::pair<std::string_view, std::size_t>, 5> gauges = {{
+        {"request_body_bytes", budget.body_bytes()},
+        {"request_body_limit_bytes", budget.limits().bodies},
+        {"unread_response_bytes", budget.unread_bytes()},
+        {"unread_response_limit_bytes", budget.limits().responses},
+        {"responses_paused", this->memory->paused.size()},
+    }};
+    for (const auto& [name, value] : gauges)
+    {
+        this->counters.set(name, static_cast<std::int64_t>(value));
+    }
+}
+
 asio::awaitable<void> node_process::serve_metrics(net::http_exchange& exchange)
 {
     this->counters.set(
@@ -375,6 +397,7 @@
         static_cast<std::int64_t>(this->caller_server.in_progress()));
     this->counters.set(
         "slots_in_use", static_cast<std::int64_t>(this->slots.in_use()));
+    this->set_memory_gauges();
     this->counters.set("log_lines_lost", count_dropped_log_lines());
     this->counters.set("store_served", this->store.is_reachable() ? 1 : 0);
     const auto configuration = this->fleet.configuration();
@@ -448,16 +471,75 @@
 
 asio::awaitable<result<std::string>> node_process::read_caller_body(
     net::http_exchange& exchange,
-    const serving::serving_configuration& configuration)
+    const serving::serving_configuration& configuration,
+    body_lease& held)
 {
-    result<std::string> body = co_await exchange.read_body(
-        static_cast<std::size_t>(configuration.limits.body_bytes));
-    if (!body && body.error().kind == error_kind::invalid_input)
+    const std::size_t limit =
+        static_cast<std::size_t>(configuration.limits.body_bytes);
+    const std::size_t declared = find_declared_length(exchange.head());
+    std::string body;
+    if (declared > limit)
     {
-        co_await exchange.respond(
-            net::make_text_response(status_too_large, body.error().text));
+        co_return co_await this->reject_long_body(exchange, limit);
+    }
+    const bool is_admitted = this->memory->budget.admits_request(declared) &&
+                             held.add(serving::request_overhead);
+    while (is_admitted)
+    {
+        const result<std::string> piece = co_await exchange.read_some();
+        if (!piece || piece.value().empty())
+        {
+            co_return piece ? result<std::string>(std::move(body))
+                            : result<std::string>(piece.error());
+        }
+        if (body.size() + piece.value().size() > limit)
+        {
+            co_return co_await this->reject_long_body(exchange, limit);
+        }
+        if (!held.add(piece.value().size()))
+        {
+            break;
+        }
+        body += piece.value();
     }
-    co_return body;
+    const std::size_t received = body.size();
+    std::string().swap(body);
+    held.release_body();
+    co_await this->refuse_body(exchange, received);
+    co_return make_error(
+        error_kind::overloaded,
+        "body: expected memory for it, found " +
+            std::to_string(this->memory->budget.body_bytes()) +
+            " bytes in use");
+}
+
+asio::awaitable<error>
+node_process::reject_long_body(net::http_exchange& exchange, std::size_t limit)
+{
+    error failure = make_error(
+        error_kind::invalid_input,
+        "body: expected at most " + std::to_string(limit) +
+            " bytes, found more");
+    co_await exchange.respond(
+        net::make_text_response(status_too_large, failure.text));
+    co_return failure;
+}
+
+asio::awaitable<void>
+node_process::refuse_body(net::http_exchange& exchange, std::size_t received)
+{
+    const std::string_view why = name_of(reason::out_of_memory_budget);
+    this->counters.count_refusal(reason::out_of_memory_budget);
+    log_event(
+        event::request_refused,
+        {{"request",
+          platform::parse_caller_parameters(exchange.head().headers)
+              .attempt_id},
+         {"reason", std::string(why)},
+         {"declared_bytes", find_declared_length(exchange.head())},
+         {"received_bytes", received},
+         {"body_bytes_held", this->memory->budget.body_bytes()}});
+    co_await exchange.respond(platform::make_refusal(memory_retry, why));
 }
 
 asio::awaitable<void> node_process::serve_submission(
@@ -465,8 +547,9 @@
     std::shared_ptr<const serving::serving_configuration> configuration,
     const serving::serving_route& route)
 {
+    body_lease held(this->memory);
     result<std::string> body =
-        co_await this->read_caller_body(exchange, *configuration);
+        co_await this->read_caller_body(exchange, *configuration, held);
     if (!body)
     {
         co_return;
@@ -480,8 +563,9 @@
     const serving::serving_route& route,
     time_point arrived)
 {
+    body_lease held(this->memory);
     result<std::string> body =
-        co_await this->read_caller_body(exchange, *configuration);
+        co_await this->read_caller_body(exchange, *configuration, held);
     if (!body)
     {
         if (body.error().kind == error_kind::invalid_input)
@@ -498,11 +582,13 @@
             this->runners,
             this->counters,
             this->settings.bounds,
-            this->stop},
+            this->stop,
+            this->memory},
         std::move(configuration),
         route,
         exchange,
         std::move(body.value()),
+        std::move(held),
         arrived);
     this->stop.arrived += this->stop.plan ? 1 : 0;
     // Removes the call also when it ends with an exception. The set is shared,
--- a/servers/node/node_process.hpp
+++ b/servers/node/node_process.hpp
@@ -43,12 +43,21 @@
 
 private:
     boost::asio::awaitable<void> serve_caller(net::http_exchange& exchange);
-    /// Reads the body of a caller's request. Refuses a body that exceeds the
-    /// limit with status 413. Error: invalid_input when the body is too long,
-    /// and the errors of the read.
+    /// Reads the body of a caller's request and reserves memory for it while it
+    /// arrives. Refuses a body that exceeds the limit with status 413, and one
+    /// without memory as not run. Errors: invalid_input when the body is too
+    /// long, overloaded when there is no memory, and those of the read.
     boost::asio::awaitable<result<std::string>> read_caller_body(
         net::http_exchange& exchange,
-        const serving::serving_configuration& configuration);
+        const serving::serving_configuration& configuration,
+        body_lease& held);
+    /// Responds with status 413 and returns the error.
+    boost::asio::awaitable<error>
+    reject_long_body(net::http_exchange& exchange, std::size_t limit);
+    /// Refuses a request for lack of memory.
+    boost::asio::awaitable<void>
+    refuse_body(net::http_exchange& exchange, std::size_t received);
+    void set_memory_gauges();
     boost::asio::awaitable<void> serve_online(
         net::http_exchange& exchange,
         std::shared_ptr<const serving::serving_configuration> configuration,
@@ -84,6 +93,7 @@
     std::uint64_t incarnation;
     metrics counters;
     stop_state stop;
+    std::shared_ptr<node_memory> memory;
     platform::store_client store;
     fleet_state fleet;
     node_members members;
--- a/servers/node/node_settings.cpp
+++ b/servers/node/node_settings.cpp
@@ -15,6 +15,9 @@
 constexpr std::int64_t max_seconds = 86400;
 constexpr std::int64_t max_record_bytes = 1 << 20;
 constexpr std::int64_t default_record_bytes = 65536;
+/// Below it, the part of the memory for bodies holds only a few bodies of 4 MB.
+constexpr std::int64_t min_memory_mb = 64;
+constexpr std::int64_t max_memory_mb = 1 << 20;
 
 constexpr enum_table<severity, 4> level_names = {{
     {severity::debug, "debug"},
@@ -119,6 +122,8 @@
     settings.result_lifetime =
         read_seconds(reader, "times.result_lifetime_s", 120);
     settings.bounds = read_response_limits(reader);
+    settings.memory_mb = reader.optional_integer(
+        "limits.memory_mb", settings.memory_mb, min_memory_mb, max_memory_mb);
     settings.log_level = read_level(reader);
     if (const result<void> checked = reader.finish(); !checked)
     {
--- a/servers/node/node_settings.hpp
+++ b/servers/node/node_settings.hpp
@@ -75,6 +75,9 @@
     /// Time for which the results of a job stay readable.
     duration result_lifetime = std::chrono::seconds(120);
     response_size_limits bounds;
+    /// Memory of the VM, in MB, of which requests in progress get a part. The
+    /// default is that of the smallest VM.
+    std::int64_t memory_mb = 160;
     severity log_level = severity::info;
 };
 
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -1,5 +1,8 @@
 #include "servers/node/online_call.hpp"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -29,6 +32,14 @@
 /// Maximum time without bytes in a stream; after it, a resumable stream is
 /// resumed on another runner.
 constexpr std::chrono::milliseconds resumable_silence_limit(700);
+/// Period with which the slot of a run is kept while its response is not read.
+/// Shorter than the silence after which a runner gets no new work, see
+/// `serving::runner_slots_settings`.
+constexpr std::chrono::milliseconds paused_progress_period(100);
+/// Time beyond the deadline in which a caller may read the rest of a stream
+/// whose run has ended. Bounds how long a caller that reads a few bytes at a
+/// time holds memory.
+constexpr std::chrono::seconds delivery_limit(30);
 
 } // namespace
 
@@ -39,17 +50,20 @@
     const serving::serving_route& initial_route,
     net::http_exchange& caller,
     std::string initial_body,
+    body_lease initial_body_memory,
     time_point received)
     : services(initial_services),
       configuration(std::move(initial_configuration)), route(&initial_route),
       was_repeatable(serving::is_repeatable(initial_route)), exchange(caller),
-      body(std::move(initial_body)),
+      body(std::make_shared<const std::string>(std::move(initial_body))),
+      body_memory(std::move(initial_body_memory)),
+      unread(initial_services.memory),
       parameters(platform::parse_caller_parameters(caller.head().headers)),
-      arrived(received), timer(io)
+      arrived(received), timer(io), progress(io)
 {
     this->set_deadline();
     this->digest = hash_bytes(
-        this->body,
+        *this->body,
         hash_bytes(
             this->parameters.prompt_parts, hash_bytes(caller.head().target)));
     this->parts = serving::digest_parts(
@@ -59,6 +73,14 @@
 asio::awaitable<void> online_call::run()
 {
     const std::weak_ptr<online_call> self = this->weak_from_this();
+    this->exchange.set_progress_hook(
+        [self](bool is_open)
+        {
+            if (const std::shared_ptr<online_call> call = self.lock())
+            {
+                call->on_delivery_progress(is_open);
+            }
+        });
     this->exchange.watch_disconnect(
         [self](net::connection_side side)
         {
@@ -194,6 +216,7 @@
     {
         this->stream->close();
     }
+    this->wake();
 }
 
 bool online_call::is_aborted() const
@@ -238,7 +261,7 @@
     request.target = this->exchange.head().target;
     request.headers = platform::make_runner_headers(
         this->exchange.head().headers, sent_parameters);
-    request.body = this->body;
+    request.shared_body = this->body;
     return request;
 }
 
@@ -252,6 +275,8 @@
 
 asio::awaitable<online_call::step> online_call::attempt()
 {
+    // Drops what is left of a whole response that was not forwarded.
+    this->unread.set(this->exchange.unsent_bytes());
     if (!this->update_route())
     {
         co_await this->reject_without_route();
@@ -329,6 +354,7 @@
         co_return co_await this->handle_failure(slot.runner, outcome);
     }
     ++this->runs;
+    this->release_body();
     this->stream = std::move(outcome.stream);
     if (this->is_aborted())
     {
@@ -528,6 +554,12 @@
     this->events.begin_run();
     while (!this->is_aborted())
     {
+        if (!this->services.memory->budget.may_read(
+                this->exchange.unsent_bytes()))
+        {
+            co_await this->pause_reading(slot);
+            continue;
+        }
         const duration left = this->deadline - read_monotonic_clock();
         const result<std::string> piece = co_await this->stream->read_some(
             this->may_resume()
@@ -564,28 +596,18 @@
             this->services.slots.note_first_event(slot.id);
             this->has_forwarded_event = true;
         }
-        if (!complete_events.value().empty() &&
-            !co_await this->exchange.write_chunk(complete_events.value()))
+        if (!complete_events.value().empty())
         {
-            this->caller_disconnected = true;
-            break;
+            if (!this->exchange.send_chunk(complete_events.value()))
+            {
+                this->caller_disconnected = true;
+                break;
+            }
+            this->unread.set(this->exchange.unsent_bytes());
         }
         if (ended)
         {
-            this->release(
-                slot,
-                has_event ? serving::slot_outcome::completed
-                          : serving::slot_outcome::rejected);
-            this->stream.reset();
-            this->services.counters.add("requests_completed_total");
-            log_event(
-                event::request_completed,
-                {{"request", this->parameters.attempt_id},
-                 {"runner", slot.runner},
-                 {"ms",
-                  (read_monotonic_clock() - this->arrived).count() / 1000}});
-            co_await this->exchange.end_stream();
-            co_return step::done;
+            co_return co_await this->complete_stream(slot, has_event);
         }
     }
     this->stream->close();
@@ -594,6 +616,93 @@
     co_return step::retry;
 }
 
+asio::awaitable<online_call::step>
+online_call::complete_stream(const slot_result& slot, bool has_event)
+{
+    this->release(
+        slot,
+        has_event ? serving::slot_outcome::completed
+                  : serving::slot_outcome::rejected);
+    this->stream.reset();
+    if (this->exchange.unsent_bytes() > 0)
+    {
+        this->deadline =
+            std::max(this->deadline, read_monotonic_clock()) + delivery_limit;
+        this->start_timer();
+        co_await this->await_delivery();
+    }
+    if (this->is_aborted())
+    {
+        co_return step::retry;
+    }
+    this->services.counters.add("requests_completed_total");
+    log_event(
+        event::request_completed,
+        {{"request", this->parameters.attempt_id},
+         {"runner", slot.runner},
+         {"ms", (read_monotonic_clock() - this->arrived).count() / 1000}});
+    co_await this->exchange.end_stream();
+    co_return step::done;
+}
+
+asio::awaitable<void> online_call::pause_reading(const slot_result& slot)
+{
+    if (!std::exchange(this->has_paused, true))
+    {
+        this->services.counters.add("responses_paused_total");
+        log_event(
+            event::response_reading_paused,
+            {{"request", this->parameters.attempt_id},
+             {"unread_bytes", this->exchange.unsent_bytes()},
+             {"all_unread_bytes",
+              this->services.memory->budget.unread_bytes()}});
+    }
+    const pause_entry entry(this->services.memory, this->progress);
+    co_await this->await_progress(paused_progress_period);
+    // A runner whose response is not read cannot show progress, and must not
+    // be reported as silent.
+    this->services.slots.note_progress(slot.id);
+}
+
+asio::awaitable<void> online_call::await_delivery()
+{
+    while (this->exchange.unsent_bytes() > 0 && !this->is_aborted())
+    {
+        co_await this->await_progress(delivery_limit);
+    }
+}
+
+asio::awaitable<void> online_call::await_progress(duration limit)
+{
+    this->progress.expires_after(limit);
+    co_await this->progress.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+void online_call::wake()
+{
+    this->progress.cancel();
+}
+
+void online_call::on_delivery_progress(bool is_open)
+{
+    this->unread.set(this->exchange.unsent_bytes());
+    if (!is_open)
+    {
+        this->caller_disconnected = true;
+        this->close_run();
+    }
+    this->wake();
+}
+
+void online_call::release_body()
+{
+    if (!this->may_run_again() || this->runs >= this->route->max_attempts)
+    {
+        this->body.reset();
+        this->body_memory.release_body();
+    }
+}
+
 asio::awaitable<online_call::step>
 online_call::forward_whole_response(const slot_result& slot)
 {
@@ -601,9 +710,11 @@
     response.status = this->stream->head().status;
     response.headers =
         platform::make_caller_headers(this->stream->head().headers);
-    std::function<void()> note_progress = [this, &slot]
+    std::function<void(std::size_t)> note_progress =
+        [this, &slot](std::size_t held)
     {
         this->services.slots.note_progress(slot.id);
+        this->unread.set(held);
     };
     result<std::string> whole = co_await net::read_whole(
         *this->stream,
@@ -732,8 +843,13 @@
          {"begun", this->head_sent ? 1 : 0}});
     this->services.counters.add("requests_failed_total");
     // If the response has begun, the connection is closed before the stream is
-    // complete, so that the caller detects the failure.
-    if (!this->head_sent)
+    // complete, so that the caller detects the failure. The events that a run
+    // has produced are delivered before.
+    if (this->head_sent)
+    {
+        co_await this->await_delivery();
+    }
+    else
     {
         co_await this->exchange.respond(
             net::make_text_response(status, std::string(name_of(why))));
--- a/servers/node/online_call.hpp
+++ b/servers/node/online_call.hpp
@@ -29,6 +29,7 @@
         const serving::serving_route& initial_route,
         net::http_exchange& caller,
         std::string initial_body,
+        body_lease initial_body_memory,
         time_point received);
 
     /// Executes the request and responds to the caller.
@@ -88,6 +89,24 @@
     /// bytes, or when the first event of a run does not follow the last one of
     /// the runs before.
     result<std::string> split_events(const std::string& piece);
+    /// Ends a stream whose run has ended: releases the slot, and waits until
+    /// the caller has read the rest.
+    boost::asio::awaitable<step>
+    complete_stream(const slot_result& slot, bool has_event);
+    /// Waits for a change after which more of the response may be read from the
+    /// runner.
+    boost::asio::awaitable<void> pause_reading(const slot_result& slot);
+    /// Waits until the connection of the caller has accepted all events, or the
+    /// call is aborted.
+    boost::asio::awaitable<void> await_delivery();
+    /// Waits until `wake`, for `limit` at most.
+    boost::asio::awaitable<void> await_progress(duration limit);
+    void wake();
+    /// Handles progress of the buffered events; they are lost if the connection
+    /// of the caller is no longer open.
+    void on_delivery_progress(bool is_open);
+    /// Releases the body if the request cannot run once more.
+    void release_body();
     boost::asio::awaitable<step>
     forward_whole_response(const slot_result& slot);
     /// Returns whether a stream that the caller has begun to receive may
@@ -116,11 +135,16 @@
     /// Whether the route allowed to repeat the request when it arrived.
     bool was_repeatable;
     net::http_exchange& exchange;
-    std::string body;
+    /// Shared with the attempts in progress. Empty after `release_body`.
+    std::shared_ptr<const std::string> body;
+    body_lease body_memory;
+    unread_lease unread;
     platform::caller_parameters parameters;
     time_point arrived;
     time_point deadline;
     boost::asio::steady_timer timer;
+    /// Cancelled to wake the call.
+    boost::asio::steady_timer progress;
     net::http_cancellation send_cancellation;
     slot_cancellation slot_request_cancellation;
     std::unique_ptr<net::http_stream> stream;
@@ -140,6 +164,8 @@
     /// running it.
     int refusals = 0;
     bool head_sent = false;
+    /// True after reading the response from a runner was paused.
+    bool has_paused = false;
     bool caller_disconnected = false;
     bool deadline_reached = false;
     bool stop_deadline_reached = false;
--- a/servers/node/run_services.hpp
+++ b/servers/node/run_services.hpp
@@ -3,6 +3,7 @@
 
 #include "core/core.hpp"
 #include "servers/node/fleet_state.hpp"
+#include "servers/node/node_memory.hpp"
 #include "servers/node/node_settings.hpp"
 #include "servers/node/runner_caller.hpp"
 #include "servers/node/slot_client.hpp"
@@ -21,6 +22,7 @@
     metrics& counters;
     const response_size_limits& limits;
     stop_state& stop;
+    const std::shared_ptr<node_memory>& memory;
 };
 
 } // namespace chicory::node
--- a/tests/servers/batch/submission_test.cpp
+++ b/tests/servers/batch/submission_test.cpp
@@ -60,6 +60,20 @@
         co_return boost::outcome_v2::success();
     }
 
+    result<void> send_chunk(std::string_view) override
+    {
+        return boost::outcome_v2::success();
+    }
+
+    std::size_t unsent_bytes() const override
+    {
+        return 0;
+    }
+
+    void set_progress_hook(std::function<void(bool)>) override
+    {
+    }
+
     boost::asio::awaitable<result<void>> end_stream() override
     {
         co_return boost::outcome_v2::success();
--- a/tests/servers/gate/online_session_test.cpp
+++ b/tests/servers/gate/online_session_test.cpp
@@ -57,6 +57,21 @@
         co_return boost::outcome_v2::success();
     }
 
+    result<void> send_chunk(std::string_view bytes) override
+    {
+        this->bytes += bytes;
+        return boost::outcome_v2::success();
+    }
+
+    std::size_t unsent_bytes() const override
+    {
+        return 0;
+    }
+
+    void set_progress_hook(std::function<void(bool)>) override
+    {
+    }
+
     asio::awaitable<result<void>> end_stream() override
     {
         this->ended = true;
--- a/tests/servers/node/planned_stop_test.cpp
+++ b/tests/servers/node/planned_stop_test.cpp
@@ -23,6 +23,7 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace chicory::process
 {
@@ -274,6 +275,18 @@
         return this->node->output().find(text) != std::string::npos;
     }
 
+    std::size_t count_in_log(const std::string& text) const
+    {
+        const std::string log = this->node->output();
+        std::size_t count = 0;
+        for (std::size_t at = log.find(text); at != std::string::npos;
+             at = log.find(text, at + 1))
+        {
+            ++count;
+        }
+        return count;
+    }
+
     void expect_refused(const caller_outcome& outcome)
     {
         EXPECT_EQ(outcome.status, 503) << outcome.attempt;
@@ -485,6 +498,73 @@
     EXPECT_EQ(again.status, 202);
 }
 
+// Guards against a stop that cuts off a response which the runner has produced,
+// while its caller reads the rest, and against one that waits beyond its grace
+// for a caller that does not read.
+TEST_F(planned_stop_test, a_stop_with_full_buffers_waits_for_slow_callers)
+{
+    this->start(6);
+    this->runner.events = 1000;
+    this->runner.event_padding = 8000;
+    this->runner.event_time = 0ms;
+    net::http_request request;
+    request.method = "POST";
+    request.headers["host"] = "a.example";
+    request.headers["x-deadline-ms"] = "30000";
+    std::vector<std::unique_ptr<net::http_stream>> streams;
+    const auto open = [&](const std::string& attempt) -> asio::awaitable<void>
+    {
+        net::http_request message = request;
+        message.target = "/once/" + attempt;
+        message.headers["x-attempt-id"] = attempt;
+        net::open_outcome opened = co_await this->http.open(
+            this->requests, std::move(message), max_wait);
+        streams.push_back(std::move(opened.stream));
+    };
+    for (const char* attempt : {"reads", "stalls"})
+    {
+        const std::size_t count = streams.size();
+        asio::co_spawn(this->io, open(attempt), asio::detached);
+        this->wait_until(
+            [&]
+            {
+                return streams.size() > count;
+            });
+        ASSERT_NE(streams.back(), nullptr);
+    }
+    this->wait_until(
+        [this]
+        {
+            return this->count_in_log("response_reading_paused") == 2;
+        });
+    this->signal_stop();
+    std::size_t received = 0;
+    bool complete = false;
+    bool done = false;
+    const auto read = [&]() -> asio::awaitable<void>
+    {
+        while (!done)
+        {
+            const result<std::string> piece =
+                co_await streams[0]->read_some(max_wait);
+            complete = piece && piece.value().empty();
+            done = !piece || piece.value().empty();
+            received += piece ? piece.value().size() : 0;
+        }
+    };
+    asio::co_spawn(this->io, read(), asio::detached);
+    this->wait_until(
+        [&done]
+        {
+            return done;
+        });
+    EXPECT_TRUE(complete);
+    EXPECT_GT(received, 8000000U);
+    this->wait_for_end();
+    EXPECT_EQ(this->count_in_log("request_cut_off"), 1U);
+    EXPECT_TRUE(this->is_in_log("drain_finished"));
+}
+
 // Guards against a second signal that cuts off requests without an answer.
 TEST_F(planned_stop_test, a_second_signal_ends_open_requests_with_an_answer)
 {
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -157,14 +157,18 @@
          number <= this->events;
          ++number)
     {
-        timer.expires_after(this->event_time);
-        co_await timer.async_wait(as_result);
+        if (this->event_time > std::chrono::milliseconds(0))
+        {
+            timer.expires_after(this->event_time);
+            co_await timer.async_wait(as_result);
+        }
         if (this->crashes != crashes_before)
         {
             co_return;
         }
         const std::string event = "id: " + std::to_string(number) +
                                   "\ndata: text " + std::to_string(number) +
+                                  std::string(this->event_padding, '.') +
                                   "\n\n";
         if (this->break_after_event > 0 && number > this->break_after_event)
         {
@@ -179,7 +183,8 @@
             co_return;
         }
     }
-    co_await exchange.end_stream();
+    const result<void> ended = co_await exchange.end_stream();
+    this->arrivals[index].complete = ended.has_value();
 }
 
 } // namespace chicory::standins
--- a/tests/standins/engine_standin.hpp
+++ b/tests/standins/engine_standin.hpp
@@ -26,6 +26,8 @@
     std::int64_t after = 0;
     /// True if the caller disconnected before the response was complete.
     bool cut = false;
+    /// True after the end of the stream was sent.
+    bool complete = false;
 };
 
 /// Stands in for a runner of the users' platform. It responds with a stream of
@@ -48,6 +50,8 @@
     std::string service = "chat";
     std::vector<engine_arrival> arrivals;
     std::int64_t events = 4;
+    /// Bytes that are added to the text of each event.
+    std::size_t event_padding = 0;
     std::chrono::milliseconds event_time{1};
     /// Delay before the head of a stream.
     std::chrono::milliseconds head_time{0};
