--- a/policy/serving/serving.hpp
+++ b/policy/serving/serving.hpp
@@ -19,6 +19,7 @@
 #include "policy/serving/key_freshness.hpp"
 #include "policy/serving/organisation_quota.hpp"
 #include "policy/serving/organisations.hpp"
+#include "policy/serving/memory_budget.hpp"
 #include "policy/serving/part_digests.hpp"
 #include "policy/serving/quota_contacts.hpp"
 #include "policy/serving/runner_directory.hpp"
--- a/servers/node/node_settings.cpp
+++ b/servers/node/node_settings.cpp
@@ -16,6 +16,9 @@
 constexpr std::int64_t max_record_bytes = 1 << 20;
 constexpr std::int64_t default_record_bytes = 65536;
 constexpr std::int64_t default_revocation_ms = 5000;
+/// Below it, the part of the memory for bodies holds only a few bodies of 4 MB.
+constexpr std::int64_t min_memory_mb = 64;
+constexpr std::int64_t max_memory_mb = 1 << 20;
 
 constexpr enum_table<severity, 4> level_names = {{
     {severity::debug, "debug"},
@@ -153,6 +156,8 @@
             1,
             max_seconds * 1000));
     settings.quotas = read_quotas(reader);
+    settings.memory_mb = reader.optional_integer(
+        "limits.memory_mb", settings.memory_mb, min_memory_mb, max_memory_mb);
     settings.log_level = read_level(reader);
     if (const result<void> checked = reader.finish(); !checked)
     {
--- a/servers/node/node_settings.hpp
+++ b/servers/node/node_settings.hpp
@@ -80,6 +80,9 @@
     serving::key_freshness_settings key_freshness;
     /// Window and tolerance of the quotas of organisations.
     serving::organisation_quota_settings quotas;
+    /// Memory of the VM, in MB, of which requests in progress get a part. The
+    /// default is that of the smallest VM.
+    std::int64_t memory_mb = 160;
     severity log_level = severity::info;
 };
 
