Placement: Choose runners by measured speed and even load

Runners state in their responses how many requests they have and how long work takes on their machine. Nodes decode the header and pass it on with the report and the release of a slot. The coordinator estimates the speed of each runner with age and confidence and chooses by expected time and even use of slots. Items leave the faster runners to online requests. A node without a coordinator draws two runners and chooses the better one. A runner gets no more tokens than its kv_capacity; larger requests get 413. Services whose runners state no time keep the order by zone.

--- a/core/reason.hpp
+++ b/core/reason.hpp
@@ -14,6 +14,7 @@
     // Properties of the request itself.
     invalid_request,
     body_too_large,
+    too_many_tokens,
     unauthenticated,
     forbidden,
     unknown_route,
@@ -61,9 +62,10 @@
     weight_store_limited,
 };
 
-inline constexpr enum_table<reason, 39> reason_names = {{
+inline constexpr enum_table<reason, 40> reason_names = {{
     {reason::invalid_request, "invalid_request"},
     {reason::body_too_large, "body_too_large"},
+    {reason::too_many_tokens, "too_many_tokens"},
     {reason::unauthenticated, "unauthenticated"},
     {reason::forbidden, "forbidden"},
     {reason::unknown_route, "unknown_route"},
--- a/policy/serving/serving_configuration.cpp
+++ b/policy/serving/serving_configuration.cpp
@@ -74,4 +74,11 @@
            (route.kind == route_kind::streaming && route.resumable);
 }
 
+std::int64_t find_token_capacity(
+    const serving_configuration& configuration, const std::string& service)
+{
+    const auto found = configuration.service_tokens.find(service);
+    return found == configuration.service_tokens.end() ? 0 : found->second;
+}
+
 } // namespace chicory::serving
--- a/policy/serving/serving_configuration.hpp
+++ b/policy/serving/serving_configuration.hpp
@@ -88,6 +88,9 @@
     std::vector<serving_route> routes;
     /// Number of requests that a runner of each service processes concurrently.
     std::map<std::string, std::int64_t> service_slots;
+    /// Number of tokens that the memory of a runner of each service holds; zero
+    /// if unknown.
+    std::map<std::string, std::int64_t> service_tokens;
     caller_limits limits;
 
     bool operator==(const serving_configuration&) const = default;
@@ -117,6 +120,11 @@
 bool may_keep_waiting(
     const serving_route& before, const serving_route* now, std::uint64_t draw);
 
+/// Returns the number of tokens that the memory of a runner of a service holds,
+/// or zero if it is unknown.
+std::int64_t find_token_capacity(
+    const serving_configuration& configuration, const std::string& service);
+
 /// Returns whether a request that may already have run can be sent again.
 bool is_repeatable(const serving_route& route);
 
--- a/policy/serving/slot_messages.hpp
+++ b/policy/serving/slot_messages.hpp
@@ -39,6 +39,29 @@
     }
 };
 
+/// Load that a runner stated in a response. The default value means that it
+/// stated none.
+struct runner_load
+{
+    std::int32_t running = 0;
+    std::int32_t waiting = 0;
+    std::int32_t slots = 0;
+    /// Time that work takes on the runner's machine at the moment, in percent
+    /// of the usual time; zero if the runner did not state it.
+    std::int32_t time_percent = 0;
+
+    bool operator==(const runner_load&) const = default;
+};
+
+/// A load with the time since the node received it.
+struct load_sample
+{
+    runner_load load;
+    duration age = duration::zero();
+
+    bool operator==(const load_sample&) const = default;
+};
+
 /// Requests a slot in a group of runners. Durations are relative to the time of
 /// sending.
 struct slot_request
@@ -68,6 +91,9 @@
     /// Runners at which the work has failed. A request does not run there
     /// again, an item only if there is no other usable runner.
     std::vector<std::string> excluded;
+    /// Tokens of the prompt plus the maximum number of output tokens; zero if
+    /// unknown.
+    std::int64_t tokens = 0;
 
     bool operator==(const slot_request&) const = default;
 };
@@ -84,6 +110,8 @@
     duration age = duration::zero();
     /// Time since the last bytes from the runner, or since the work was sent.
     duration silence = duration::zero();
+    std::int64_t tokens = 0;
+    load_sample load = {};
 
     bool operator==(const held_slot&) const = default;
 };
--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -116,19 +117,30 @@
     const slot_id& id,
     work_kind kind,
     const std::string& runner,
-    time_point since)
+    time_point since,
+    std::int64_t tokens)
 {
     this->remove_running(id);
     running_slot run;
     run.kind = kind;
     run.runner = runner;
     run.since = since;
+    run.tokens = tokens;
     this->running[id] = run;
     if (kind == work_kind::batch)
     {
         this->batch_runs.insert(id);
     }
-    this->runners.begin_run(runner);
+    this->runners.begin_run(runner, tokens);
+}
+
+void slot_scheduler::record_load(
+    time_point now, running_slot& run, const load_sample& load)
+{
+    if (load.load.slots > 0 && !std::exchange(run.has_load, true))
+    {
+        this->runners.on_load(now, run.runner, load);
+    }
 }
 
 void slot_scheduler::remove_running(const slot_id& id)
@@ -138,10 +150,8 @@
     {
         return;
     }
-    if (!found->second.preempted)
-    {
-        this->runners.end_run(found->second.runner);
-    }
+    const running_slot& run = found->second;
+    this->runners.end_run(run.runner, run.tokens, run.preempted);
     this->batch_runs.erase(id);
     this->crashes.on_end(id);
     this->running.erase(found);
@@ -191,6 +201,11 @@
     {
         return false;
     }
+    if (this->runners.exceeds_every_memory(request))
+    {
+        out.push_back({request.id, slot_decision_kind::refused, "", {}, {}});
+        return false;
+    }
     this->add_waiting(now, request);
     return true;
 }
@@ -225,17 +240,22 @@
     {
         update_mean(
             this->mean_online_us,
-            static_cast<double>((now - run.since).count()));
+            static_cast<double>((now - run.since).count()) /
+                this->runners.work_time(now, run.runner));
     }
 }
 
 std::vector<slot_decision> slot_scheduler::on_release(
-    time_point now, const slot_id& id, slot_outcome outcome)
+    time_point now,
+    const slot_id& id,
+    slot_outcome outcome,
+    const load_sample& load)
 {
     decisions out;
     this->on_node_message(now, id.node, id.incarnation);
     if (const auto run = this->running.find(id); run != this->running.end())
     {
+        this->record_load(now, run->second, load);
         this->record_outcome(now, run->second, outcome);
         this->remove_running(id);
     }
@@ -320,8 +340,10 @@
         if (!this->running.contains(slot.id))
         {
             this->queue.erase(slot.id);
-            this->add_running(slot.id, slot.kind, slot.runner, now - slot.age);
+            this->add_running(
+                slot.id, slot.kind, slot.runner, now - slot.age, slot.tokens);
         }
+        this->record_load(now, this->running[slot.id], slot.load);
         this->crashes.on_progress(
             slot.runner, this->running[slot.id].since, now - slot.silence);
         if (this->running[slot.id].preempted)
@@ -348,13 +370,29 @@
     return out;
 }
 
+std::map<std::string, std::int64_t> slot_scheduler::batch_tokens() const
+{
+    std::map<std::string, std::int64_t> tokens;
+    for (const slot_id& id : this->batch_runs)
+    {
+        const running_slot& run = this->running.at(id);
+        tokens[run.runner] += run.tokens;
+    }
+    return tokens;
+}
+
 std::optional<slot_id> slot_scheduler::choose_run_to_preempt(
     time_point now, const slot_request& request, bool only_deferred) const
 {
+    const bool is_limited = this->runners.has_token_limit();
+    std::map<std::string, std::int64_t> freed =
+        is_limited ? this->batch_tokens()
+                   : std::map<std::string, std::int64_t>();
+    std::map<std::string, std::int64_t> costs;
     std::optional<slot_id> best;
-    // Deferred items are preempted first, then runs in the caller's zone, then
-    // those with the latest due time, then the youngest.
-    std::tuple<bool, bool, time_point, time_point> best_rank;
+    // Deferred items are preempted first, then runs at the runner that is best
+    // for the request, then those with the latest due time, then the youngest.
+    std::tuple<bool, std::int64_t, time_point, time_point> best_rank;
     for (const slot_id& id : this->batch_runs)
     {
         const running_slot& run = this->running.at(id);
@@ -363,15 +401,20 @@
         {
             continue;
         }
-        if (!this->runners.may_preempt(now, run.runner, request))
+        if (!this->runners.may_preempt(now, run.runner, request) ||
+            (is_limited && !this->runners.may_hold_tokens(
+                               run.runner, request, freed[run.runner])))
         {
             continue;
         }
-        const std::tuple<bool, bool, time_point, time_point> rank(
-            is_deferred,
-            this->runners.is_in_zone(run.runner, request.zone),
-            run.due,
-            run.since);
+        const auto [cost, added] = costs.try_emplace(run.runner);
+        if (added)
+        {
+            cost->second =
+                -this->runners.preemption_cost(now, run.runner, request);
+        }
+        const std::tuple<bool, std::int64_t, time_point, time_point> rank(
+            is_deferred, cost->second, run.due, run.since);
         if (!best || rank > best_rank)
         {
             best = id;
@@ -387,19 +430,26 @@
     const slot_request& request,
     bool only_deferred)
 {
-    const std::optional<slot_id> preempted_id =
-        this->choose_run_to_preempt(now, request, only_deferred);
-    if (!preempted_id)
+    while (!this->runners.has_memory_soon(now, request))
     {
-        return std::nullopt;
+        const std::optional<slot_id> preempted_id =
+            this->choose_run_to_preempt(now, request, only_deferred);
+        if (!preempted_id)
+        {
+            return std::nullopt;
+        }
+        running_slot& run = this->running.at(*preempted_id);
+        run.preempted = true;
+        this->batch_runs.erase(*preempted_id);
+        this->runners.preempt_run(run.runner, run.tokens);
+        out.push_back(
+            {*preempted_id, slot_decision_kind::preempt, run.runner, {}, {}});
+        if (this->runners.holds_tokens(run.runner, request))
+        {
+            return run.runner;
+        }
     }
-    running_slot& run = this->running.at(*preempted_id);
-    run.preempted = true;
-    this->batch_runs.erase(*preempted_id);
-    this->runners.end_run(run.runner);
-    out.push_back(
-        {*preempted_id, slot_decision_kind::preempt, run.runner, {}, {}});
-    return run.runner;
+    return std::nullopt;
 }
 
 bool slot_scheduler::update_item_plan(time_point now)
@@ -445,10 +495,11 @@
     const work_kind kind = found->second.request.kind;
     const time_point due = found->second.target_deadline;
     const duration work = found->second.request.expected_work;
+    const std::int64_t tokens = found->second.request.tokens;
     request_traits traits = std::move(found->second.traits);
     this->refused.erase(found->second.request.request_digest);
     this->queue.erase(found);
-    this->add_running(id, kind, runner, now);
+    this->add_running(id, kind, runner, now, tokens);
     const bool report_first_event =
         this->crashes.needs_first_event(now, traits);
     this->crashes.on_begin(now, id, traits);
@@ -457,7 +508,10 @@
     if (kind == work_kind::batch)
     {
         this->running.at(id).due = due;
-        this->running.at(id).done_at = now + work;
+        this->running.at(id).done_at =
+            now + duration(static_cast<std::int64_t>(
+                      static_cast<double>(work.count()) *
+                      this->runners.work_time(now, runner)));
     }
     out.push_back(
         {id, slot_decision_kind::granted, runner, {}, {}, report_first_event});
@@ -501,15 +555,26 @@
     return sort_ids(std::move(order));
 }
 
+std::int64_t slot_scheduler::overtaking_limit(
+    time_point now, const waiting_request& waiting) const
+{
+    return this->runners.has_token_limit() &&
+                   now - waiting.arrived < this->settings.max_overtaking
+               ? waiting.request.tokens
+               : 0;
+}
+
 void slot_scheduler::dispatch_online(decisions& out, time_point now)
 {
     // A slot that is available to any request is also available to a repeatable
     // request that excludes no runner. If such a request finds no slot, no
     // other request finds one, and if a request that is not repeatable finds
     // none, no other of that kind does. The remaining requests are skipped, so
-    // that only a few requests of a queue without slots are examined.
-    bool may_place_repeatable = true;
-    bool may_place_others = true;
+    // that only a few requests of a queue without slots are examined. Where the
+    // memory of runners is limited, smaller requests may find a slot
+    // nevertheless.
+    std::int64_t repeatable_limit = std::numeric_limits<std::int64_t>::max();
+    std::int64_t others_limit = repeatable_limit;
     for (const slot_id* id : this->order_online(now))
     {
         if (this->redirect_trial(out, now, *id))
@@ -522,7 +587,8 @@
         {
             continue;
         }
-        if (!(request.repeatable ? may_place_repeatable : may_place_others))
+        if (request.tokens >=
+            (request.repeatable ? repeatable_limit : others_limit))
         {
             continue;
         }
@@ -538,8 +604,11 @@
         }
         else if (request.excluded.empty())
         {
-            may_place_others = false;
-            may_place_repeatable = may_place_repeatable && !request.repeatable;
+            const std::int64_t limit = this->overtaking_limit(now, waiting);
+            others_limit = std::min(others_limit, limit);
+            repeatable_limit = request.repeatable
+                                   ? std::min(repeatable_limit, limit)
+                                   : repeatable_limit;
         }
     }
 }
@@ -565,9 +634,14 @@
     {
         return;
     }
+    std::int64_t limit = std::numeric_limits<std::int64_t>::max();
     for (const slot_id* id : this->order_batch())
     {
         const slot_request& request = this->queue.at(*id).request;
+        if (request.tokens >= limit)
+        {
+            continue;
+        }
         std::optional<std::string> free;
         if (idle > 0)
         {
@@ -585,14 +659,19 @@
         else if (request.excluded.empty())
         {
             // Without a slot for this item there is none for the items after
-            // it.
-            return;
+            // it, unless they need less memory.
+            limit = this->runners.has_token_limit() ? request.tokens : 0;
+            if (limit == 0)
+            {
+                return;
+            }
         }
     }
 }
 
 void slot_scheduler::dispatch(decisions& out, time_point now)
 {
+    this->runners.on_time(now);
     const bool planned = this->update_item_plan(now);
     if (!this->online_queue.empty())
     {
@@ -741,16 +820,24 @@
 
 wait_estimate slot_scheduler::estimate_waits(time_point now) const
 {
+    const double mean_time = this->runners.mean_work_time(now);
     std::vector<time_point> starts;
     for (const auto& [id, run] : this->running)
     {
         if (run.kind == work_kind::online)
         {
-            starts.push_back(run.since);
+            // A run at a slow runner ends later, as if it had begun later.
+            const double longer =
+                this->mean_online_us *
+                (this->runners.work_time(now, run.runner) - mean_time);
+            starts.push_back(
+                run.since + duration(static_cast<std::int64_t>(longer)));
         }
     }
     return wait_estimate(
-        now, starts, duration(static_cast<std::int64_t>(this->mean_online_us)));
+        now,
+        starts,
+        duration(static_cast<std::int64_t>(this->mean_online_us * mean_time)));
 }
 
 duration slot_scheduler::choose_retry_after(
@@ -758,7 +845,8 @@
 {
     const std::int64_t slots = std::max<std::int64_t>(1, this->total_slots());
     const duration step(static_cast<std::int64_t>(
-        this->mean_online_us / static_cast<double>(slots)));
+        this->mean_online_us * this->runners.mean_work_time(now) /
+        static_cast<double>(slots)));
     this->next_retry_at = std::max(this->next_retry_at + step, now + wait);
     const duration left = refusal.deadline - now;
     const duration max_retry_after = std::chrono::duration_cast<duration>(
@@ -785,6 +873,12 @@
             // It waits for the outcome of other runs, not for a slot.
             continue;
         }
+        if (this->runners.has_memory_soon(now, waiting.request))
+        {
+            // It waits for preempted runs that are about to leave.
+            ++position;
+            continue;
+        }
         const time_point expected_start =
             now + waits.wait_of(position) + this->settings.first_piece_delay;
         // A request that has waited longer than this is served late rather than
@@ -869,4 +963,9 @@
     return this->runners.total_slots();
 }
 
+runner_speeds slot_scheduler::speeds(time_point now) const
+{
+    return this->runners.speeds(now);
+}
+
 } // namespace chicory::serving
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -40,6 +40,9 @@
     /// Time after which a granted slot that its node does not report is free. A
     /// report that is sent earlier may have crossed with the grant.
     duration report_tolerance = std::chrono::milliseconds(150);
+    /// Time after which a request that waits for memory of a runner is not
+    /// overtaken by smaller ones any more.
+    duration max_overtaking = std::chrono::milliseconds(100);
     /// Time for which a refused request is remembered.
     duration refusal_lifetime = std::chrono::seconds(10);
     /// A request may be refused as late only during this fraction, one over the
@@ -81,6 +84,11 @@
 ///   capacity: work that would have to wait is redirected once; see
 ///   `group_overflow`.
 /// - Runners that fail or become silent: see `runner_slots`.
+/// - Runners of different and changing speed: see `runner_speed` and
+///   `placement_cost`. Durations of runs are learned relative to the speed of
+///   their runners.
+/// - Requests that are larger than the free memory of a runner wait; smaller
+///   ones overtake them for a short time only.
 /// - More batch work than can be completed in time: items that
 ///   `choose_deferred` does not defer go first, by due time, then the deferred
 ///   ones. Deferred items are also preempted first.
@@ -104,8 +112,11 @@
 
     /// Records that a request or a slot is not needed any more, and the outcome
     /// of its use.
-    std::vector<slot_decision>
-    on_release(time_point now, const slot_id& id, slot_outcome outcome);
+    std::vector<slot_decision> on_release(
+        time_point now,
+        const slot_id& id,
+        slot_outcome outcome,
+        const load_sample& load = {});
 
     /// Records that a runner closed the connection before the first event of a
     /// run. Repeated reports of the same run have no effect. Requests that wait
@@ -154,6 +165,8 @@
     std::size_t waiting(work_kind kind) const;
     /// Returns the number of all slots of usable runners.
     std::int64_t total_slots() const;
+    /// Returns the speeds and load of the usable runners.
+    runner_speeds speeds(time_point now) const;
 
 private:
     struct running_slot
@@ -165,6 +178,10 @@
         time_point since;
         /// True for a run that was preempted and is not counted any more.
         bool preempted = false;
+        std::int64_t tokens = 0;
+        /// True after the load that the runner stated in the response was
+        /// recorded. Reports repeat it.
+        bool has_load = false;
         /// Batch: due time and expected end of the item. The due time is the
         /// epoch if the run is known only from a report.
         time_point due;
@@ -203,7 +220,11 @@
         const slot_id& id,
         work_kind kind,
         const std::string& runner,
-        time_point since);
+        time_point since,
+        std::int64_t tokens);
+    /// Records the load that a runner stated in the response of a run.
+    void
+    record_load(time_point now, running_slot& run, const load_sample& load);
     void remove_running(const slot_id& id);
     void add_waiting(time_point now, const slot_request& request);
     /// Decides a request that is already running or that must not run.
@@ -218,8 +239,12 @@
     /// Returns the batch run to preempt for a request, or nothing.
     std::optional<slot_id> choose_run_to_preempt(
         time_point now, const slot_request& request, bool only_deferred) const;
-    /// Preempts a batch run and returns its runner. Returns nothing if no run
-    /// can be preempted for the request.
+    /// Returns the tokens of the batch runs at each runner.
+    std::map<std::string, std::int64_t> batch_tokens() const;
+    /// Preempts a batch run and returns its runner. Preempts several if a
+    /// runner needs their memory for the request. Returns nothing if no run can
+    /// be preempted for the request, or if the memory is free only when the
+    /// preempted runs have ended.
     std::optional<std::string> preempt_batch_run(
         decisions& out,
         time_point now,
@@ -234,6 +259,10 @@
         decisions& out, time_point now, slot_id id, const std::string& runner);
     /// Decides the waiting requests that are quarantined now.
     void quarantine_waiting(decisions& out, time_point now);
+    /// Returns the number of tokens below which requests may be placed before a
+    /// waiting one for which no runner was found.
+    std::int64_t
+    overtaking_limit(time_point now, const waiting_request& waiting) const;
     void dispatch_online(decisions& out, time_point now);
     void dispatch_batch(decisions& out, time_point now, bool may_preempt);
     void dispatch(decisions& out, time_point now);
--- a/servers/node/item_execution.cpp
+++ b/servers/node/item_execution.cpp
@@ -180,6 +180,7 @@
     requirements.expected_work = this->expected_work();
     requirements.repeatable = true;
     requirements.excluded = this->avoided_runners;
+    requirements.tokens = this->item.tokens;
     requirements.still_hold = [this, current, draw]
     {
         return serving::may_keep_waiting(
@@ -198,6 +199,19 @@
         co_return step::retry;
     }
     slot_requirements requirements = this->make_slot_requirements(*found_route);
+    if (const std::int64_t capacity = serving::find_token_capacity(
+            *this->services.fleet.configuration(), requirements.service);
+        capacity > 0 && requirements.tokens > capacity)
+    {
+        log_event(
+            event::item_interrupted,
+            {{"job", this->job},
+             {"item", this->item.id},
+             {"error",
+              "expected at most " + std::to_string(capacity) +
+                  " tokens, found " + std::to_string(requirements.tokens)}});
+        co_return step::impossible;
+    }
     const time_point target_deadline = requirements.target_deadline;
     const std::string host = found_route->host;
     const slot_result slot = co_await this->services.slots.acquire(
@@ -242,6 +256,7 @@
             this->item, host, slot.runner, this->text.last_event_id()),
         head_limit,
         cancellation);
+    this->services.slots.note_load(slot.id, outcome.load);
     this->send_cancellation = nullptr;
     if (outcome.delivery != delivery_outcome::responding)
     {
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cmath>
 #include <csignal>
 #include <utility>
 
@@ -368,6 +369,44 @@
         platform::make_entry_response(addresses, chosen.time_to_live));
 }
 
+void node_process::set_speed_gauges()
+{
+    constexpr double percent = 100.0;
+    const time_point now = read_monotonic_clock();
+    serving::runner_speeds all;
+    double speed_sum = 0.0;
+    double share_sum = 0.0;
+    for (const auto& [group, scheduler] : this->coordinator.schedulers())
+    {
+        const serving::runner_speeds speeds = scheduler.speeds(now);
+        if (speeds.measured == 0)
+        {
+            continue;
+        }
+        const auto count = static_cast<double>(speeds.measured);
+        all.smallest = all.measured == 0
+                           ? speeds.smallest
+                           : std::min(all.smallest, speeds.smallest);
+        all.largest = std::max(all.largest, speeds.largest);
+        all.busiest_share = std::max(all.busiest_share, speeds.busiest_share);
+        all.measured += speeds.measured;
+        speed_sum += speeds.mean * count;
+        share_sum += speeds.mean_share * count;
+    }
+    const auto count =
+        static_cast<double>(std::max<std::int64_t>(1, all.measured));
+    const auto set = [this](std::string_view gauge, double value)
+    {
+        this->counters.set(gauge, std::llround(percent * value));
+    };
+    this->counters.set("measured_runners", all.measured);
+    set("runner_speed_smallest_percent", all.smallest);
+    set("runner_speed_mean_percent", speed_sum / count);
+    set("runner_speed_largest_percent", all.largest);
+    set("busiest_runner_over_mean_percent",
+        share_sum > 0.0 ? all.busiest_share * count / share_sum : 0.0);
+}
+
 asio::awaitable<void> node_process::serve_metrics(net::http_exchange& exchange)
 {
     this->counters.set(
@@ -396,6 +435,7 @@
     this->counters.set("coordinated_online_slots", online);
     this->counters.set("coordinated_batch_slots", batch);
     this->counters.set("coordinated_online_waiting", waiting);
+    this->set_speed_gauges();
     net::http_response response;
     response.headers["content-type"] = "text/plain; version=0.0.4";
     response.body = this->counters.render();
--- a/servers/node/node_process.hpp
+++ b/servers/node/node_process.hpp
@@ -61,6 +61,9 @@
     boost::asio::awaitable<void> serve_readiness(net::http_exchange& exchange);
     boost::asio::awaitable<void>
     serve_entry_addresses(net::http_exchange& exchange);
+    /// Sets the gauges of the speeds and loads of the runners that this node
+    /// coordinates.
+    void set_speed_gauges();
     boost::asio::awaitable<void> serve_metrics(net::http_exchange& exchange);
     void handle_slot_packet(
         const std::string& sender, const wire::slot_packet& packet);
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -15,6 +15,7 @@
 constexpr int status_ok = 200;
 constexpr int status_first_redirection = 300;
 constexpr int status_not_found = 404;
+constexpr int status_too_large = 413;
 constexpr int status_failed = 500;
 constexpr int status_bad_gateway = 502;
 constexpr int status_gateway_timeout = 504;
@@ -214,6 +215,8 @@
     requirements.parts = this->parts;
     requirements.repeatable = this->may_run_again();
     requirements.excluded = this->failed_runners;
+    requirements.tokens =
+        this->parameters.prompt_tokens + this->parameters.max_output_tokens;
     requirements.still_hold = [this, draw]
     {
         return serving::may_keep_waiting(
@@ -263,6 +266,13 @@
         co_return step::done;
     }
     slot_requirements requirements = this->make_slot_requirements();
+    if (const std::int64_t capacity = serving::find_token_capacity(
+            *this->configuration, requirements.service);
+        capacity > 0 && requirements.tokens > capacity)
+    {
+        co_await this->refuse_for_memory(requirements.tokens, capacity);
+        co_return step::done;
+    }
     const slot_result slot = co_await this->services.slots.acquire(
         std::move(requirements), this->slot_request_cancellation);
     if (slot.kind == slot_result::result_kind::outdated)
@@ -318,6 +328,7 @@
         this->make_request(slot.runner),
         head_limit,
         this->send_cancellation);
+    this->services.slots.note_load(slot.id, outcome.load);
     if (outcome.delivery != delivery_outcome::responding)
     {
         this->release(
@@ -722,6 +733,27 @@
         platform::make_refusal(retry_after, name_of(why)));
 }
 
+asio::awaitable<void>
+online_call::refuse_for_memory(std::int64_t tokens, std::int64_t capacity)
+{
+    if (this->head_sent || this->runs > 0)
+    {
+        co_await this->fail(status_bad_gateway, reason::too_many_tokens);
+        co_return;
+    }
+    this->services.counters.count_refusal(reason::too_many_tokens);
+    log_event(
+        event::request_refused,
+        {{"request", this->parameters.attempt_id},
+         {"reason", std::string(name_of(reason::too_many_tokens))},
+         {"tokens", tokens},
+         {"token_capacity", capacity}});
+    co_await this->exchange.respond(net::make_text_response(
+        status_too_large,
+        "request: expected at most " + std::to_string(capacity) +
+            " tokens of prompt and output, found " + std::to_string(tokens)));
+}
+
 asio::awaitable<void> online_call::fail(int status, reason why)
 {
     log_event(
--- a/servers/node/online_call.hpp
+++ b/servers/node/online_call.hpp
@@ -100,6 +100,10 @@
         serving::slot_outcome outcome,
         std::string failure);
     boost::asio::awaitable<void> refuse(duration retry_after, reason why);
+    /// Refuses a request with more tokens than the memory of a runner holds.
+    /// The caller must not retry it.
+    boost::asio::awaitable<void>
+    refuse_for_memory(std::int64_t tokens, std::int64_t capacity);
     boost::asio::awaitable<void> fail(int status, reason why);
     boost::asio::awaitable<void> finish_aborted();
     void record_first_piece();
--- a/servers/node/runner_caller.cpp
+++ b/servers/node/runner_caller.cpp
@@ -99,9 +99,11 @@
     switch (platform::classify_runner_response(opened.stream->head()))
     {
     case platform::runner_response_kind::executed:
+        outcome.load = platform::parse_runner_load(opened.stream->head());
         outcome.delivery = delivery_outcome::responding;
         break;
     case platform::runner_response_kind::not_run:
+        outcome.load = platform::parse_runner_load(opened.stream->head());
         outcome.delivery = delivery_outcome::not_run;
         outcome.failure =
             "status " + std::to_string(opened.stream->head().status);
--- a/servers/node/runner_caller.hpp
+++ b/servers/node/runner_caller.hpp
@@ -41,6 +41,8 @@
     std::string failure;
     /// True when the runner closed the connection after the request was sent.
     bool closed = false;
+    /// Load that the head of the response stated.
+    serving::runner_load load = {};
 };
 
 /// Sends requests to runners and records in the runner directory which runners
--- a/servers/node/slot_client.cpp
+++ b/servers/node/slot_client.cpp
@@ -107,6 +107,62 @@
     }
 }
 
+std::vector<serving::direct_candidate> slot_client::find_candidates(
+    time_point now, const pending_request& pending) const
+{
+    const std::string& service = pending.requirements.service;
+    const auto configuration = this->fleet.configuration();
+    const std::int64_t capacity =
+        configuration == nullptr
+            ? 0
+            : serving::find_token_capacity(*configuration, service);
+    std::map<std::string, std::pair<std::int64_t, std::int64_t>> own;
+    for (const auto& [number, slot] : this->used_slots)
+    {
+        auto& [runs, tokens] = own[slot.runner];
+        ++runs;
+        tokens += slot.tokens;
+    }
+    std::vector<serving::direct_candidate> candidates;
+    const std::vector<std::string>& excluded = pending.request.excluded;
+    for (const serving::runner_entry* entry :
+         this->fleet.runners().usable(now, service))
+    {
+        const auto [runs, tokens] = own[entry->id];
+        const bool has_memory =
+            capacity <= 0 || tokens + pending.request.tokens <= capacity;
+        if (has_memory &&
+            std::find(excluded.begin(), excluded.end(), entry->id) ==
+                excluded.end())
+        {
+            candidates.push_back(
+                {entry->id, entry->slots, runs, entry->zone == this->own_zone});
+        }
+    }
+    return candidates;
+}
+
+std::optional<std::string> slot_client::find_least_used(
+    const std::vector<serving::direct_candidate>& candidates,
+    std::uint64_t number) const
+{
+    const serving::direct_candidate* best = nullptr;
+    std::tuple<std::int64_t, bool, std::uint64_t> best_rank;
+    for (const serving::direct_candidate& candidate : candidates)
+    {
+        const std::tuple<std::int64_t, bool, std::uint64_t> rank(
+            candidate.own_runs,
+            !candidate.is_in_zone,
+            hash_bytes(candidate.id, number));
+        if (best == nullptr || rank < best_rank)
+        {
+            best = &candidate;
+            best_rank = rank;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(best->id);
+}
+
 void slot_client::choose_runner_directly(
     time_point now, pending_request& pending)
 {
@@ -123,39 +179,23 @@
         this->resolve(pending, std::move(result));
         return;
     }
-    std::map<std::string, std::int64_t> own_requests;
-    for (const auto& [number, slot] : this->used_slots)
-    {
-        ++own_requests[slot.runner];
-    }
-    const serving::runner_entry* best = nullptr;
-    std::tuple<std::int64_t, bool, std::uint64_t> best_rank;
-    for (const serving::runner_entry* entry :
-         this->fleet.runners().usable(now, pending.requirements.service))
-    {
-        const std::vector<std::string>& excluded = pending.request.excluded;
-        if (std::find(excluded.begin(), excluded.end(), entry->id) !=
-            excluded.end())
-        {
-            continue;
-        }
-        const std::tuple<std::int64_t, bool, std::uint64_t> rank(
-            own_requests[entry->id],
-            entry->zone != this->own_zone,
-            hash_bytes(entry->id, pending.request.id.number));
-        if (best == nullptr || rank < best_rank)
-        {
-            best = entry;
-            best_rank = rank;
-        }
-    }
+    const std::vector<serving::direct_candidate> candidates =
+        this->find_candidates(now, pending);
+    const std::uint64_t number = pending.request.id.number;
+    const std::optional<std::string> best =
+        this->own_choice.is_measured(candidates)
+            ? this->own_choice.choose(
+                  now,
+                  candidates,
+                  hash_bytes(this->self, this->incarnation + number))
+            : this->find_least_used(candidates, number);
     log_event(
         event::coordinator_silent,
         {{"service", pending.requirements.service},
-         {"runner", best == nullptr ? "none" : best->id}});
-    result.kind = best == nullptr ? slot_result::result_kind::refused
-                                  : slot_result::result_kind::granted;
-    result.runner = best == nullptr ? "" : best->id;
+         {"runner", best.value_or("none")}});
+    result.kind = !best ? slot_result::result_kind::refused
+                        : slot_result::result_kind::granted;
+    result.runner = !best ? "" : *best;
     result.retry_after = report_interval;
     this->resolve(pending, std::move(result));
 }
@@ -195,6 +235,7 @@
     request.parts = pending->requirements.parts;
     request.repeatable = pending->requirements.repeatable;
     request.excluded = pending->requirements.excluded;
+    request.tokens = pending->requirements.tokens;
     if (const std::optional<duration> left = this->fleet_guard.quarantine_left(
             read_monotonic_clock(),
             serving::make_traits(request.request_digest, request.parts)))
@@ -269,6 +310,7 @@
         slot.last_progress = now;
         slot.request_digest = request.request_digest;
         slot.parts = request.parts;
+        slot.tokens = request.tokens;
         slot.report_first_event = pending->result.report_first_event;
     }
     if (pending->resolved && !outdated)
@@ -319,7 +361,8 @@
          outcome,
          slot.request_digest,
          slot.parts,
-         slot.runner});
+         slot.runner,
+         {slot.load, read_monotonic_clock() - slot.load_received_at}});
 }
 
 void slot_client::note_first_event(const serving::slot_id& id)
@@ -398,6 +441,31 @@
     }
 }
 
+void slot_client::note_load(
+    const serving::slot_id& id, const serving::runner_load& load)
+{
+    const auto found = this->used_slots.find(id.number);
+    if (found == this->used_slots.end() || load.slots == 0)
+    {
+        return;
+    }
+    used_slot& slot = found->second;
+    slot.load = load;
+    slot.load_received_at = read_monotonic_clock();
+    if (load.time_percent > 0)
+    {
+        const auto own_runs = std::count_if(
+            this->used_slots.begin(),
+            this->used_slots.end(),
+            [&slot](const auto& item)
+            {
+                return item.second.runner == slot.runner;
+            });
+        this->own_choice.on_load(
+            slot.load_received_at, slot.runner, load, own_runs);
+    }
+}
+
 void slot_client::set_preempt_hook(
     const serving::slot_id& id, std::function<void()> hook)
 {
@@ -534,7 +602,9 @@
                  group,
                  slot.runner,
                  now - slot.granted_at,
-                 now - slot.last_progress});
+                 now - slot.last_progress,
+                 slot.tokens,
+                 {slot.load, now - slot.load_received_at}});
         }
     }
     for (const auto& [number, pending] : this->pending_requests)
--- a/servers/node/slot_client.hpp
+++ b/servers/node/slot_client.hpp
@@ -39,6 +39,9 @@
     bool repeatable = false;
     /// Runners that must not be chosen.
     std::vector<std::string> excluded;
+    /// Tokens of the prompt plus the maximum number of output tokens; zero if
+    /// unknown.
+    std::int64_t tokens = 0;
     /// Returns whether the requirements still hold. Called when the
     /// configuration has changed while the request waits. An empty function
     /// means that they always hold.
@@ -87,8 +90,9 @@
 
 /// Acquires slots from the coordinator of this node's home group of a service's
 /// runners, or of the group to which that coordinator redirects the request.
-/// When no coordinator responds, an online request goes to the runner on which
-/// this node itself has the fewest requests.
+/// When no coordinator responds, an online request goes to the runner that
+/// `direct_choice` chooses if runners of the service state their speed, and
+/// otherwise to the one on which this node itself has the fewest requests.
 class slot_client
 {
 public:
@@ -129,6 +133,11 @@
     /// Records that the runner of this slot sent bytes.
     void note_progress(const serving::slot_id& id);
 
+    /// Records the load that the runner of this slot stated in its response.
+    /// The next report and the release of the slot pass it on.
+    void
+    note_load(const serving::slot_id& id, const serving::runner_load& load);
+
     /// Sets the callback for the preemption of the run in this slot. It is
     /// called immediately if the run was preempted already.
     void
@@ -167,6 +176,9 @@
         bool report_first_event = false;
         std::function<void()> preempt_hook;
         bool preempted = false;
+        std::int64_t tokens = 0;
+        serving::runner_load load;
+        time_point load_received_at;
     };
 
     void tick();
@@ -179,6 +191,15 @@
     void send_request(time_point now, pending_request& pending);
     void resolve(pending_request& pending, slot_result result);
     void choose_runner_directly(time_point now, pending_request& pending);
+    /// Returns the runners that may run a request, with this node's own
+    /// requests there.
+    std::vector<serving::direct_candidate>
+    find_candidates(time_point now, const pending_request& pending) const;
+    /// Returns the runner on which this node has the fewest requests, nothing
+    /// if there is none.
+    std::optional<std::string> find_least_used(
+        const std::vector<serving::direct_candidate>& candidates,
+        std::uint64_t number) const;
     void send_release(const wire::slot_release& packet);
     /// Moves a request or slot whose group no longer exists to the group that
     /// replaces it.
@@ -208,6 +229,9 @@
     serving::crash_guard fleet_guard;
     /// Evidence of this node's own runs, for the time without a coordinator.
     serving::crash_guard own_guard;
+    /// Loads that runners stated to this node, for the time without a
+    /// coordinator.
+    serving::direct_choice own_choice;
     /// The latest runs that crashed a runner, by service. Reports include
     /// them, so that a new coordinator receives them.
     std::map<std::string, std::deque<serving::crashed_run>> crashed_runs;
--- a/servers/node/slot_coordinator.cpp
+++ b/servers/node/slot_coordinator.cpp
@@ -253,7 +253,7 @@
     this->send_decisions(
         release.group,
         "",
-        scheduler.on_release(now, release.id, release.outcome));
+        scheduler.on_release(now, release.id, release.outcome, release.load));
 }
 
 void slot_coordinator::handle_first_event(
--- a/servers/node/slot_topology.cpp
+++ b/servers/node/slot_topology.cpp
@@ -72,13 +72,18 @@
     time_point now, const serving::runner_group& group)
 {
     const serving::runner_grouping& groups = this->grouping(group.service);
+    const auto configuration = this->fleet.configuration();
+    const std::int64_t tokens =
+        configuration == nullptr
+            ? 0
+            : serving::find_token_capacity(*configuration, group.service);
     std::vector<serving::slot_runner> runners;
     for (const serving::runner_entry* entry :
          this->fleet.runners().usable(now, group.service))
     {
         if (groups.holds(group, entry->id, entry->zone))
         {
-            runners.push_back({entry->id, entry->zone, entry->slots});
+            runners.push_back({entry->id, entry->zone, entry->slots, tokens});
         }
     }
     return runners;
--- a/tests/platform/document_fuzz_test.cpp
+++ b/tests/platform/document_fuzz_test.cpp
@@ -95,6 +95,13 @@
             testing_support::mutate("1460,80", generator);
         headers["connection"] =
             testing_support::mutate("keep-alive, x-hop", generator);
+        net::http_response head;
+        head.headers["x-instance-load"] =
+            testing_support::mutate("3,1,8,85", generator);
+        const serving::runner_load load = parse_runner_load(head);
+        ASSERT_GE(load.running, 0);
+        ASSERT_GE(load.time_percent, 0);
+        ASSERT_LE(load.time_percent, 1000);
         const caller_parameters parameters = parse_caller_parameters(headers);
         ASSERT_FALSE(
             make_runner_headers(headers, {"i-1", parameters.time_limit, ""})
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -25,7 +25,7 @@
         "prefix":"/y/","route_kind":"batch","split":[{"service":"chat",
         "weight":90},{"service":"more","weight":10}],"retention_s":60.0,
         "completion_target_ms":18000,"max_count":1800000}],"services":
-        [{"name":"chat","engine":{"slots":8}}],"limits":
+        [{"name":"chat","engine":{"slots":8,"kv_capacity":9000}}],"limits":
         {"max_header_bytes":16384,"max_body_bytes":4194304,
         "header_timeout_ms":3000,"idle_timeout_ms":15000}})");
     ASSERT_TRUE(read);
@@ -45,6 +45,8 @@
     EXPECT_EQ(batch.completion_target, 18s);
     EXPECT_EQ(batch.max_waiting_tokens, 1800000);
     EXPECT_EQ(configuration.service_slots.at("chat"), 8);
+    EXPECT_EQ(serving::find_token_capacity(configuration, "chat"), 9000);
+    EXPECT_EQ(serving::find_token_capacity(configuration, "other"), 0);
     EXPECT_EQ(configuration.limits.idle_time, 15s);
 }
 
@@ -233,7 +235,11 @@
     EXPECT_EQ(parameters.host, "a.example");
     EXPECT_EQ(parameters.attempt_id, "t1");
     EXPECT_EQ(parameters.time_limit, duration(5s));
+    EXPECT_EQ(parameters.prompt_tokens, 1460);
     EXPECT_EQ(parameters.max_output_tokens, 80);
+    EXPECT_EQ(
+        parse_caller_parameters({{"x-token-counts", "-5,80"}}).prompt_tokens,
+        0);
     EXPECT_EQ(parameters.poll_time, 1s);
     EXPECT_FALSE(
         parse_caller_parameters({{"x-deadline-ms", "soon"}}).time_limit);
@@ -244,6 +250,38 @@
         duration(1h));
 }
 
+// Guards against a load that a broken or hostile runner states: it must not
+// change where requests go.
+TEST(call_headers_test, a_load_with_a_figure_out_of_range_counts_as_missing)
+{
+    const auto parse = [](const std::string& text)
+    {
+        net::http_response head;
+        head.headers["x-instance-load"] = text;
+        return parse_runner_load(head);
+    };
+    EXPECT_EQ(parse("3,1,8,85"), (serving::runner_load{3, 1, 8, 85}));
+    EXPECT_EQ(parse(" 3, 1 ,8"), (serving::runner_load{3, 1, 8, 0}));
+    EXPECT_EQ(parse_runner_load({}), serving::runner_load());
+    for (const char* text :
+         {"",
+          "3,1",
+          "3,1,8,85,4",
+          "3,1,0,85",
+          "-3,1,8,85",
+          "3,1,8,0",
+          "3,1,8,9",
+          "3,1,8,1001",
+          "3,1,8,",
+          "3,1,8,85x",
+          "3,1,8,8.5",
+          "3,1,99999999999999999999,85",
+          "100001,1,8,85"})
+    {
+        EXPECT_EQ(parse(text), serving::runner_load()) << text;
+    }
+}
+
 TEST(call_headers_test, only_header_value_1_marks_a_leaving_runner)
 {
     net::http_response head;
--- a/tests/wire/slot_packet_fuzz_test.cpp
+++ b/tests/wire/slot_packet_fuzz_test.cpp
@@ -27,6 +27,9 @@
     held.group = {"chat", "z1", 2};
     held.runner = "i-3";
     held.silence = std::chrono::milliseconds(420);
+    held.tokens = 540;
+    held.load = {{3, 1, 8, 85}, std::chrono::milliseconds(70)};
+    request.tokens = 620;
     slot_report report{
         {"chat", "z1", 2},
         "vm-1",
@@ -56,6 +59,7 @@
     report.crashed.front().runner = "i-3";
     release.parts = {1001, 1002};
     release.runner = "i-3";
+    release.load = {{3, 1, 8, 85}, std::chrono::milliseconds(70)};
     decisions.decisions.front().report_first_event = true;
     const first_event reported = {{"chat", "z1", 2}, request.id};
     return {request, report, release, decisions, status, reported};
--- a/wire/slot_packet.cpp
+++ b/wire/slot_packet.cpp
@@ -38,7 +38,19 @@
     serialize_duration(archive, value.time_left);
     serialize_duration(archive, value.expected_work);
     archive(
-        value.request_digest, value.parts, value.repeatable, value.excluded);
+        value.request_digest,
+        value.parts,
+        value.repeatable,
+        value.excluded,
+        value.tokens);
+}
+
+template <class Archive>
+void serialize(Archive& archive, load_sample& value)
+{
+    runner_load& load = value.load;
+    archive(load.running, load.waiting, load.slots, load.time_percent);
+    serialize_duration(archive, value.age);
 }
 
 template <class Archive>
@@ -59,6 +71,7 @@
     archive(value.id, value.kind, value.group, value.runner);
     serialize_duration(archive, value.age);
     serialize_duration(archive, value.silence);
+    archive(value.tokens, value.load);
 }
 
 template <class Archive>
@@ -94,7 +107,8 @@
         value.outcome,
         value.request_digest,
         value.parts,
-        value.runner);
+        value.runner,
+        value.load);
 }
 
 template <class Archive>
--- a/wire/slot_packet.hpp
+++ b/wire/slot_packet.hpp
@@ -22,6 +22,7 @@
     /// Digests of the shared parts of its prompt.
     serving::part_digests parts = {};
     std::string runner = {};
+    serving::load_sample load = {};
 };
 
 /// Reports that a run returned its first event, if the decision that granted
