--- a/policy/serving/serving.hpp
+++ b/policy/serving/serving.hpp
@@ -6,6 +6,7 @@
 
 #include "policy/serving/access.hpp"
 #include "policy/serving/coordinator_choice.hpp"
+#include "policy/serving/crash_evidence.hpp"
 #include "policy/serving/crash_guard.hpp"
 #include "policy/serving/direct_choice.hpp"
 #include "policy/serving/event_splitter.hpp"
