--- a/servers/node/job_api.cpp
+++ b/servers/node/job_api.cpp
@@ -164,18 +164,13 @@
 asio::awaitable<void>
 job_api::handle_call(net::http_exchange& exchange, platform::job_call call)
 {
-    if (!platform::is_valid_name(call.job))
-    {
-        co_await exchange.respond(
-            net::make_text_response(status_not_found, "no such job"));
-        co_return;
-    }
     const serving::access_decision caller = this->check_access(exchange, false);
     if (caller.outcome != serving::access_outcome::granted)
     {
         // Only a job of a public route is found without an accepted key.
         bool is_public_job = false;
-        if (serving::has_public_jobs(*this->fleet.configuration()))
+        if (platform::is_valid_name(call.job) &&
+            serving::has_public_jobs(*this->fleet.configuration()))
         {
             const result<serving::job_record> found =
                 co_await this->find_for(call.job, caller);
@@ -188,6 +183,12 @@
             co_return;
         }
     }
+    if (!platform::is_valid_name(call.job))
+    {
+        co_await exchange.respond(
+            net::make_text_response(status_not_found, "no such job"));
+        co_return;
+    }
     switch (call.kind)
     {
     case platform::job_call_kind::read_results:
--- a/tests/servers/node/access_test.cpp
+++ b/tests/servers/node/access_test.cpp
@@ -304,6 +304,8 @@
         EXPECT_EQ(this->submit("j1", headers), 401);
         EXPECT_EQ(
             this->call_about_job("GET", "/-/lots/j1?after=0", headers), 401);
+        EXPECT_EQ(
+            this->call_about_job("DELETE", "/-/lots/no%20name", headers), 401);
     }
     EXPECT_TRUE(this->runner.arrivals.empty());
     EXPECT_EQ(this->store.count("jobs"), 0U);
