--- a/tests/servers/node/planned_stop_test.cpp
+++ b/tests/servers/node/planned_stop_test.cpp
@@ -512,7 +512,7 @@
     request.headers["host"] = "a.example";
     request.headers["x-deadline-ms"] = "30000";
     std::vector<std::unique_ptr<net::http_stream>> streams;
-    const auto open = [&](const std::string& attempt) -> asio::awaitable<void>
+    const auto open = [&](std::string attempt) -> asio::awaitable<void>
     {
         net::http_request message = request;
         message.target = "/once/" + attempt;
