--- a/policy/serving/memory_budget.cpp
+++ b/policy/serving/memory_budget.cpp
@@ -13,8 +13,7 @@
 constexpr std::size_t body_part = 4;
 /// Part of the memory for unread responses.
 constexpr std::size_t response_part = 8;
-/// A runner that writes 100 events a second of 100 bytes needs 25 s to fill it,
-/// which bridges the pauses of a slow caller.
+/// Holds several pieces of a runner, and bridges the pauses of a slow caller.
 constexpr std::size_t max_unread_bytes = std::size_t(256) << 10U;
 
 } // namespace
--- a/servers/node/node_process.cpp
+++ b/servers/node/node_process.cpp
@@ -21,8 +21,8 @@
 constexpr int status_unavailable = 503;
 /// Retry delay for callers of a node that has no configuration yet.
 constexpr std::chrono::milliseconds no_configuration_retry(500);
-/// Retry delay for requests that are refused for lack of memory: a request that
-/// is in progress ends within about this time.
+/// Retry delay for requests that are refused for lack of memory. Short, because
+/// memory is released whenever a request ends.
 constexpr std::chrono::milliseconds memory_retry(300);
 constexpr std::chrono::milliseconds drain_poll(50);
 /// Polls after which the process exits although answers are not sent yet.
