Runner slots: Compute the costs for a preemption once per choice

The usual speed of the runners was computed anew for each runner at which a batch run may be preempted, which costs the square of their number.

--- a/policy/serving/runner_slots.cpp
+++ b/policy/serving/runner_slots.cpp
@@ -355,26 +355,22 @@
            this->may_use(now, found->second, request);
 }
 
-std::int64_t runner_slots::preemption_cost(
-    time_point now,
-    const std::string& runner,
-    const slot_request& request) const
+std::map<std::string, std::int64_t> runner_slots::preemption_costs(
+    time_point now, const slot_request& request) const
 {
-    const auto found = this->runners.find(runner);
-    if (found == this->runners.end())
-    {
-        return 1;
-    }
-    const runner_use& use = found->second;
     const usual_values usual = this->find_usual(now);
-    if (!usual.measured)
-    {
-        return use.runner.zone == request.zone ? 0 : 1;
-    }
     const auto step =
         static_cast<double>(this->settings.preemption_step.count());
-    return static_cast<std::int64_t>(
-        std::floor(this->cost(now, use, request, usual) / step));
+    std::map<std::string, std::int64_t> costs;
+    for (const auto& [id, use] : this->runners)
+    {
+        const std::int64_t by_zone = use.runner.zone == request.zone ? 0 : 1;
+        costs[id] = usual.measured
+                        ? static_cast<std::int64_t>(std::floor(
+                              this->cost(now, use, request, usual) / step))
+                        : by_zone;
+    }
+    return costs;
 }
 
 bool runner_slots::has_token_limit() const
--- a/policy/serving/runner_slots.hpp
+++ b/policy/serving/runner_slots.hpp
@@ -121,13 +121,11 @@
     std::optional<std::string>
     choose_idle_runner(time_point now, const slot_request& request) const;
 
-    /// Returns the cost of a request at a runner for the choice of a run to
+    /// Returns the cost of a request at each runner for the choice of a run to
     /// preempt, in preemption steps. Without known speeds the zone decides: the
     /// cost is 0 in the request's zone and 1 elsewhere.
-    std::int64_t preemption_cost(
-        time_point now,
-        const std::string& runner,
-        const slot_request& request) const;
+    std::map<std::string, std::int64_t>
+    preemption_costs(time_point now, const slot_request& request) const;
 
     /// Returns whether the memory of a usable runner is limited.
     bool has_token_limit() const;
--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -388,7 +388,9 @@
     std::map<std::string, std::int64_t> freed =
         is_limited ? this->batch_tokens()
                    : std::map<std::string, std::int64_t>();
-    std::map<std::string, std::int64_t> costs;
+    const std::map<std::string, std::int64_t> costs =
+        this->batch_runs.empty() ? std::map<std::string, std::int64_t>()
+                                 : this->runners.preemption_costs(now, request);
     std::optional<slot_id> best;
     // Deferred items are preempted first, then runs at the runner that is best
     // for the request, then those with the latest due time, then the youngest.
@@ -407,14 +409,8 @@
         {
             continue;
         }
-        const auto [cost, added] = costs.try_emplace(run.runner);
-        if (added)
-        {
-            cost->second =
-                -this->runners.preemption_cost(now, run.runner, request);
-        }
         const std::tuple<bool, std::int64_t, time_point, time_point> rank(
-            is_deferred, cost->second, run.due, run.since);
+            is_deferred, -costs.at(run.runner), run.due, run.since);
         if (!best || rank > best_rank)
         {
             best = id;
--- a/tests/policy/serving/placement_test.cpp
+++ b/tests/policy/serving/placement_test.cpp
@@ -162,8 +162,9 @@
         slots.begin_run("r0");
         EXPECT_EQ(slots.choose_idle_runner(start, make_online(1)), "r0");
     }
-    EXPECT_EQ(slots.preemption_cost(start, "r0", make_online(1)), 0);
-    EXPECT_EQ(slots.preemption_cost(start, "r1", make_online(1)), 1);
+    EXPECT_EQ(
+        slots.preemption_costs(start, make_online(1)),
+        (std::map<std::string, std::int64_t>{{"r0", 0}, {"r1", 1}}));
 }
 
 // Load pattern: another coordinator uses the same runners, of which this one
