--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -17,6 +17,16 @@
 /// Weight of a new run in the mean duration of runs.
 constexpr double mean_weight = 0.05;
 
+/// The numbers of requests made and served are multiplied by this factor in
+/// this interval, so that half of the weight is on the last 3.4 s.
+constexpr double service_fade = 0.9;
+constexpr std::chrono::milliseconds service_fade_interval(500);
+constexpr double min_asked = 0.01;
+/// An organisation that is served less than this share as often as all goes
+/// first. The required share is a quarter; the margin covers the time until its
+/// requests get slots.
+constexpr double min_service_share = 0.5;
+
 void update_mean(double& mean, double value)
 {
     mean = mean == 0.0 ? value : mean + mean_weight * (value - mean);
@@ -232,6 +242,8 @@
     const auto added = this->queue.find(request.id);
     if (this->charge(out, now, added->second))
     {
+        this->organisation_service[request.organisation].asked +=
+            added->second.is_retry ? 0.0 : 1.0;
         return true;
     }
     this->queue.erase(added);
@@ -274,6 +286,46 @@
     return true;
 }
 
+void slot_scheduler::fade_service(time_point now)
+{
+    if (now - this->service_faded_at < service_fade_interval)
+    {
+        return;
+    }
+    this->service_faded_at = now;
+    std::erase_if(
+        this->organisation_service,
+        [](const auto& item)
+        {
+            return item.second.asked < min_asked;
+        });
+    for (auto& [organisation, service] : this->organisation_service)
+    {
+        service.asked *= service_fade;
+        service.served *= service_fade;
+    }
+}
+
+std::set<std::string_view> slot_scheduler::find_underserved() const
+{
+    service_ratio all;
+    for (const auto& [organisation, service] : this->organisation_service)
+    {
+        all.asked += service.asked;
+        all.served += service.served;
+    }
+    std::set<std::string_view> found;
+    for (const auto& [organisation, service] : this->organisation_service)
+    {
+        if (service.served * all.asked <
+            service.asked * all.served * min_service_share)
+        {
+            found.insert(organisation);
+        }
+    }
+    return found;
+}
+
 void slot_scheduler::charge_undecided(decisions& out, time_point now)
 {
     if (this->quota == nullptr)
@@ -568,6 +620,7 @@
     {
         this->running.at(id).organisation = organisation;
         ++this->organisation_slots[organisation];
+        this->organisation_service[organisation].served += 1.0;
     }
     if (charged_at && this->quota != nullptr)
     {
@@ -650,6 +703,7 @@
         1,
         this->runners.total_slots() /
             static_cast<std::int64_t>(std::max<std::size_t>(1, active.size())));
+    const std::set<std::string_view> underserved = this->find_underserved();
     std::map<std::string_view, std::int64_t> turns;
     for (const auto& [organisation, slots] : this->organisation_slots)
     {
@@ -665,11 +719,13 @@
         {
             rank = 1;
         }
-        // An organisation of a lower priority keeps a quarter of its share.
+        if (underserved.contains(organisation))
+        {
+            keys.emplace_back(rank, 0, 0, keys.size());
+            continue;
+        }
         const std::int64_t priority =
-            this->quota == nullptr || turn < (share + 3) / 4
-                ? 0
-                : this->quota->priority_of(organisation);
+            this->quota == nullptr ? 0 : this->quota->priority_of(organisation);
         keys.emplace_back(rank, priority, turn, keys.size());
     }
     std::sort(keys.begin(), keys.end());
@@ -1040,6 +1096,7 @@
         });
     this->crashes.on_tick(now);
     this->charge_undecided(out, now);
+    this->fade_service(now);
     this->dispatch(out, now);
     this->refuse_late(out, now);
     this->return_redirected_items(out, now);
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -198,6 +198,12 @@
         /// quota. It gets no slot meanwhile.
         bool awaits_quota = false;
     };
+    /// Requests of an organisation, with less weight for those long ago.
+    struct service_ratio
+    {
+        double asked = 0.0;
+        double served = 0.0;
+    };
     struct refused_request
     {
         time_point refused_at;
@@ -233,6 +239,11 @@
     /// Charges a request to its organisation. Returns false and refuses the
     /// request if it is beyond the quota.
     bool charge(decisions& out, time_point now, waiting_request& waiting);
+    /// Reduces the weight of earlier requests in `organisation_service`.
+    void fade_service(time_point now);
+    /// Returns the organisations that are served less than half as often as
+    /// all, measured in requests served of requests made.
+    std::set<std::string_view> find_underserved() const;
     /// Charges the requests for which this was not decided yet.
     void charge_undecided(decisions& out, time_point now);
     /// Sorts online requests within their ranks by organisation: by priority,
@@ -318,6 +329,8 @@
     /// Digests of refused requests.
     std::map<std::uint64_t, refused_request> refused;
     organisation_quota* quota = nullptr;
+    std::map<std::string, service_ratio> organisation_service;
+    time_point service_faded_at;
     /// Slots in use by organisation.
     std::map<std::string, std::int64_t> organisation_slots;
     crash_guard crashes;
--- a/tests/wire/slot_packet_fuzz_test.cpp
+++ b/tests/wire/slot_packet_fuzz_test.cpp
@@ -58,7 +58,15 @@
     release.runner = "i-3";
     decisions.decisions.front().report_first_event = true;
     const first_event reported = {{"chat", "z1", 2}, request.id};
-    return {request, report, release, decisions, status, reported};
+    // A report with and without organisations; the fields differ in length.
+    slot_report plain = report;
+    request.organisation = "north";
+    request.charged = true;
+    report.waiting.push_back(request);
+    report.sent = {{"north", "vm-2", {{3, 2}, {0, 1}}}};
+    const quota_status_packet usage = {{{{"north", 2, {{5, 1}, {1, 4}}}}}};
+    return {
+        request, plain, report, release, decisions, status, reported, usage};
 }
 
 } // namespace
