--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -679,25 +679,28 @@
     }
     // Within an organisation, retried requests go first in the order of their
     // refusals, then the others in the order of arrival.
-    std::vector<const waiting_request*> order;
+    using entry = std::map<slot_id, waiting_request>::value_type;
+    std::vector<const entry*> order;
     for (const slot_id* id : ids)
     {
-        order.push_back(&this->queue.at(*id));
-        active.insert(order.back()->request.organisation);
+        order.push_back(&*this->queue.find(*id));
+        active.insert(order.back()->second.request.organisation);
     }
     std::sort(
         order.begin(),
         order.end(),
-        [](const waiting_request* left, const waiting_request* right)
+        [](const entry* left, const entry* right)
         {
-            return std::make_tuple(
-                       !left->is_retry,
-                       left->is_retry ? left->refused_at : left->arrived,
-                       std::cref(left->request.id)) <
-                   std::make_tuple(
-                       !right->is_retry,
-                       right->is_retry ? right->refused_at : right->arrived,
-                       std::cref(right->request.id));
+            const auto key_of = [](const waiting_request& waiting)
+            {
+                return std::pair(
+                    !waiting.is_retry,
+                    waiting.is_retry ? waiting.refused_at : waiting.arrived);
+            };
+            const auto left_key = key_of(left->second);
+            const auto right_key = key_of(right->second);
+            return left_key != right_key ? left_key < right_key
+                                         : left->first < right->first;
         });
     const std::int64_t share = std::max<std::int64_t>(
         1,
@@ -710,8 +713,9 @@
         turns[organisation] = slots;
     }
     std::vector<std::tuple<int, std::int64_t, std::int64_t, std::size_t>> keys;
-    for (const waiting_request* waiting : order)
+    for (const entry* found : order)
     {
+        const waiting_request* const waiting = &found->second;
         const std::string& organisation = waiting->request.organisation;
         const std::int64_t turn = turns[organisation]++;
         int rank = this->rank_of(now, *waiting);
@@ -732,7 +736,7 @@
     ids.clear();
     for (const auto& [rank, priority, turn, index] : keys)
     {
-        ids.push_back(&this->queue.find(order[index]->request.id)->first);
+        ids.push_back(&order[index]->first);
     }
     return ids;
 }
