--- a/policy/serving/organisation_quota.hpp
+++ b/policy/serving/organisation_quota.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace chicory::serving
@@ -342,7 +343,12 @@
         std::string organisation;
         std::string coordinator;
 
-        auto operator<=>(const key&) const = default;
+        bool operator<(const key& other) const
+        {
+            return std::tie(
+                       this->group, this->organisation, this->coordinator) <
+                   std::tie(other.group, other.organisation, other.coordinator);
+        }
     };
 
     void prune(time_point now);
