--- a/core/event.cpp
+++ b/core/event.cpp
@@ -57,7 +57,7 @@
         {coordinator_silent, "coordinator_silent", warning, "The slot coordinator of a service does not respond; a runner was chosen without it."},
         {slot_refused, "slot_refused", info, "The coordinator had no slot for an online request within the time limit."},
         {slot_redirected, "slot_redirected", debug, "The coordinator had no slot and named another group of the service's runners as redirect target."},
-        {trait_quarantined, "trait_quarantined", error, "Requests that have all of `companions` crashed runners and are refused for `time_left_ms`."},
+        {trait_quarantined, "trait_quarantined", error, "Requests that have all of `companions` crashed runners (`crashed_runs`) and are refused for `time_left_ms`."},
         {trait_released, "trait_released", info, "Requests with a quarantined trait may run again: a run showed that it is good, or nothing used it for long."},
         {request_cut_off, "request_cut_off", warning, "This process ended a request that may have run before its response was complete."},
 
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -450,6 +450,14 @@
         std::move(server), std::move(request), std::move(limits), nullptr);
 }
 
+asio::awaitable<bool> http_client::can_connect(endpoint server, duration limit)
+{
+    connection link(this->shared->executor);
+    link.stream.expires_after(limit);
+    const beast::error_code failed = co_await connect(link, server);
+    co_return !failed;
+}
+
 asio::awaitable<open_outcome> http_client::open(
     endpoint server,
     http_request request,
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -140,6 +140,10 @@
         open_limits limits,
         http_cancellation* cancellation);
 
+    /// Returns whether a server accepts a new connection within `limit`. The
+    /// connection is closed again.
+    boost::asio::awaitable<bool> can_connect(endpoint server, duration limit);
+
     /// Sends a request and reads the whole response, up to the sizes in
     /// `bounds`. Errors: unavailable when the request was certainly not sent,
     /// outcome_unknown otherwise.
--- a/policy/serving/crash_guard.cpp
+++ b/policy/serving/crash_guard.cpp
@@ -1,6 +1,7 @@
 #include "policy/serving/crash_guard.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace chicory::serving
 {
@@ -15,6 +16,15 @@
 constexpr std::size_t crashes_of_trait = 2;
 constexpr std::size_t crashes_of_trait_among_others = 3;
 constexpr std::size_t min_other_crashes = 2;
+/// Number of crashes after which even the most popular part is quarantined. A
+/// part may crash at most five runners, one of them in a later try.
+constexpr std::size_t max_crashes_to_quarantine = 4;
+/// Number of crashed runners after which a trait is not tried again soon.
+constexpr std::int64_t max_crashes_of_part = 5;
+/// Probability below which crashes with a part in common are no coincidence.
+/// Up to 80 parts are popular at the same time, so that one herd of crashes in
+/// about a hundred meets one of them by chance in spite of the trials.
+constexpr double chance_limit = 0.01;
 /// Number of crashed runs that are sent to other coordinators. They must fit
 /// into one datagram.
 constexpr std::size_t max_recent_crashes = 16;
@@ -24,6 +34,22 @@
     return std::find(traits.begin(), traits.end(), trait) != traits.end();
 }
 
+/// Returns the probability of at least `hits` of `trials` independent events of
+/// a probability below one.
+double chance_of_hits(std::size_t trials, std::size_t hits, double probability)
+{
+    double exactly = std::pow(1.0 - probability, static_cast<double>(trials));
+    double fewer = 0.0;
+    for (std::size_t count = 0; count < hits && count <= trials; ++count)
+    {
+        fewer += exactly;
+        exactly *= static_cast<double>(trials - count) /
+                   static_cast<double>(count + 1) * probability /
+                   (1.0 - probability);
+    }
+    return 1.0 - fewer;
+}
+
 } // namespace
 
 request_traits
@@ -39,6 +65,20 @@
     return traits;
 }
 
+std::string format_crashes(const std::vector<crashed_run>& crashes)
+{
+    std::string text;
+    for (const crashed_run& run : crashes)
+    {
+        text += (text.empty() ? "" : ",") + run.id.node + "/" +
+                std::to_string(run.id.number) + "@" + run.runner + "/" +
+                std::string(find_name(crash_stage_names, run.stage)) + "/" +
+                std::to_string(run.lasted.count() / 1000) + "/" +
+                std::to_string(run.age.count() / 1000);
+    }
+    return text;
+}
+
 crash_guard::crash_guard(crash_guard_settings initial) : settings(initial)
 {
 }
@@ -91,26 +131,56 @@
     }
 }
 
+double crash_guard::decay(duration passed) const
+{
+    return std::exp(
+        -static_cast<double>(passed.count()) /
+        static_cast<double>(this->settings.share_time.count()));
+}
+
 void crash_guard::on_good_traits(time_point now, const request_traits& traits)
 {
+    ++this->good_runs;
+    this->good_weight =
+        1.0 + this->good_weight * this->decay(now - this->good_weight_at);
+    this->good_weight_at = now;
     for (const std::uint64_t trait : traits)
     {
         this->withdraw_crashes(trait);
         this->end_quarantine(trait);
-        const auto [entry, added] = this->known_good.try_emplace(trait, now);
+        const auto [entry, added] =
+            this->known_good.try_emplace(trait, good_trait{now, now, 0.0});
+        good_trait& state = entry->second;
+        state.weight = 1.0 + state.weight * this->decay(now - state.last);
+        state.last = now;
         // A trait that is seen all the time is entered into the order only a
         // few times in its lifetime.
         if (!added &&
-            now - entry->second < this->settings.known_good_lifetime / 4)
+            now - state.entered < this->settings.known_good_lifetime / 4)
         {
             continue;
         }
-        entry->second = now;
+        state.entered = now;
         this->known_good_order.emplace_back(now, trait);
     }
     this->on_tick(now);
 }
 
+double
+crash_guard::share_of_good_runs(time_point now, std::uint64_t trait) const
+{
+    const auto found = this->known_good.find(trait);
+    const double total =
+        this->good_weight * this->decay(now - this->good_weight_at);
+    if (found == this->known_good.end() || total <= 0.0)
+    {
+        return 0.0;
+    }
+    return std::min(
+        1.0,
+        found->second.weight * this->decay(now - found->second.last) / total);
+}
+
 void crash_guard::withdraw_crashes(std::uint64_t trait)
 {
     if (this->crash_counts.erase(trait) > 0)
@@ -118,6 +188,7 @@
         for (crash_state& crash : this->crashes)
         {
             std::erase(crash.traits, trait);
+            std::erase(crash.concurrent, trait);
         }
     }
     for (auto& [other, state] : this->quarantines)
@@ -144,41 +215,73 @@
     this->changed.erase(trait);
 }
 
-request_traits
-crash_guard::choose_suspects(time_point now, const crashed_run& run) const
+bool crash_guard::is_request_digest(std::uint64_t trait) const
+{
+    return std::any_of(
+        this->crashes.begin(),
+        this->crashes.end(),
+        [trait](const crash_state& crash)
+        {
+            return crash.run.request_digest == trait;
+        });
+}
+
+void crash_guard::choose_suspects(time_point now, crash_state& crash) const
 {
-    request_traits suspects;
-    const auto known_run = this->runs.find(run.id);
+    const crashed_run& run = crash.run;
     for (const std::uint64_t trait : make_traits(run.request_digest, run.parts))
     {
-        if (!this->is_known_good(now, trait))
+        const bool is_part = trait != run.request_digest;
+        const auto good = this->known_good.find(trait);
+        if ((is_part && run.age > this->settings.max_part_crash_age) ||
+            (good != this->known_good.end() && good->second.last > crash.at))
+        {
+            continue;
+        }
+        if (!this->crash_counts.contains(trait))
         {
-            suspects.push_back(trait);
+            crash.traits.push_back(trait);
             continue;
         }
-        // Runners that crash at the same moment are one piece of evidence: the
-        // trait had no chance to show that it is good in between.
-        const auto earlier = std::find_if(
-            this->crashes.begin(),
-            this->crashes.end(),
-            [trait](const crash_state& crash)
+        bool is_same_crash = false;
+        bool is_concurrent = false;
+        for (const crash_state& earlier : this->crashes)
+        {
+            if (!contains(earlier.traits, trait))
             {
-                return contains(crash.traits, trait);
-            });
-        const bool is_same_moment = earlier != this->crashes.end() &&
-                                    (known_run == this->runs.end() ||
-                                     known_run->second.begun <= earlier->at);
-        if (!is_same_moment)
+                continue;
+            }
+            is_same_crash =
+                is_same_crash ||
+                (!run.runner.empty() && run.runner == earlier.run.runner &&
+                 crash.at - earlier.at <= this->settings.same_crash_time);
+            is_concurrent = is_concurrent || crash.begun <= earlier.at;
+        }
+        if (is_same_crash)
         {
-            suspects.push_back(trait);
+            continue;
+        }
+        // Runners that crash at the same moment are one piece of evidence,
+        // because the trait had no chance to show that it is good in between.
+        // A new part whose first runs crash while no other runner does is no
+        // such coincidence.
+        if (is_concurrent &&
+            (this->is_known_good(now, trait) ||
+             (is_part && this->summarize_crashes(now, trait).others > 0)))
+        {
+            crash.concurrent.push_back(trait);
+            continue;
         }
+        crash.traits.push_back(trait);
     }
-    return suspects;
 }
 
 bool crash_guard::on_crash(time_point now, const crashed_run& run)
 {
-    if (!this->reported_runs.insert(run.id).second)
+    const duration age = std::max(run.age, duration::zero());
+    if (make_traits(run.request_digest, run.parts).empty() ||
+        age > this->settings.max_request_crash_age ||
+        !this->reported_runs.insert(run.id).second)
     {
         return false;
     }
@@ -190,35 +293,104 @@
     }
     crash_state crash;
     crash.run = run;
-    crash.at = now;
-    crash.traits = this->choose_suspects(now, run);
-    this->on_end(run.id);
-    if (crash.traits.empty())
+    crash.at = now - age;
+    crash.begun =
+        crash.at -
+        std::clamp<duration>(
+            run.lasted, duration::zero(), this->settings.crash_lifetime);
+    if (const auto known = this->runs.find(run.id); known != this->runs.end())
     {
-        return false;
+        crash.begun = known->second.begun;
     }
+    crash.good_runs = this->good_runs;
+    this->choose_suspects(now, crash);
+    this->on_end(run.id);
     for (const std::uint64_t trait : crash.traits)
     {
         ++this->crash_counts[trait];
     }
+    // A crash without suspects still shows that runners crash by themselves.
     this->crashes.push_back(crash);
     for (const std::uint64_t trait : crash.traits)
     {
-        if (this->crash_count(trait) >=
-                this->crashes_to_quarantine(now, trait) ||
-            this->quarantines.contains(trait))
+        if (this->quarantines.contains(trait) ||
+            this->should_quarantine(now, run, trait))
+        {
+            this->quarantine(now, crash.at, trait);
+        }
+    }
+    for (const std::uint64_t trait : crash.concurrent)
+    {
+        if (!this->quarantines.contains(trait) &&
+            this->should_quarantine(now, run, trait))
         {
-            this->quarantine(now, trait);
+            this->quarantine(now, crash.at, trait);
         }
     }
     if (this->crashes.size() > this->settings.max_crashes)
     {
         this->drop_crash(0);
     }
-    return true;
+    return !crash.traits.empty();
 }
 
-void crash_guard::quarantine(time_point now, std::uint64_t trait)
+bool crash_guard::should_quarantine(
+    time_point now, const crashed_run& run, std::uint64_t trait) const
+{
+    if (trait != run.request_digest && run.age > this->settings.fresh_crash_age)
+    {
+        return false;
+    }
+    const std::size_t count = this->crash_count(trait);
+    return (count >= crashes_of_trait &&
+            count >= this->crashes_to_quarantine(now, trait)) ||
+           (!this->is_known_good(now, trait) &&
+            this->crashed_under(trait) >= max_crashes_to_quarantine);
+}
+
+void crash_guard::on_leaving(const std::string& runner)
+{
+    for (std::size_t index = this->crashes.size(); index > 0; --index)
+    {
+        if (this->crashes[index - 1].run.runner == runner)
+        {
+            this->drop_crash(index - 1);
+        }
+    }
+}
+
+quarantine_grounds
+crash_guard::make_grounds(time_point now, std::uint64_t trait) const
+{
+    quarantine_grounds grounds;
+    std::int64_t good_runs_before = this->good_runs;
+    for (auto crash = this->crashes.rbegin();
+         crash != this->crashes.rend() &&
+         grounds.crashes.size() < static_cast<std::size_t>(max_crashes_of_part);
+         ++crash)
+    {
+        if (!contains(crash->traits, trait) &&
+            !contains(crash->concurrent, trait))
+        {
+            continue;
+        }
+        crashed_run run = crash->run;
+        run.parts.clear();
+        run.age = now - crash->at;
+        run.lasted = crash->at - crash->begun;
+        grounds.crashes.insert(grounds.crashes.begin(), std::move(run));
+        good_runs_before = crash->good_runs;
+    }
+    grounds.good_runs = this->good_runs - good_runs_before;
+    grounds.share_permille = static_cast<std::int64_t>(
+        std::lround(this->share_of_good_runs(now, trait) * 1000.0));
+    grounds.other_runners =
+        static_cast<std::int64_t>(this->summarize_crashes(now, trait).others);
+    return grounds;
+}
+
+void crash_guard::quarantine(
+    time_point now, time_point crashed_at, std::uint64_t trait)
 {
     std::optional<std::set<std::uint64_t>> common;
     for (const crash_state& crash : this->crashes)
@@ -253,8 +425,14 @@
         state.companions = std::move(*common);
     }
     state.companions.insert(trait);
+    state.grounds = this->make_grounds(now, trait);
+    state.crashes = std::max(
+        state.crashes + (added ? 0 : 1),
+        static_cast<std::int64_t>(
+            this->is_known_good(now, trait) ? this->crash_count(trait)
+                                            : this->crashed_under(trait)));
     // Crashes of runs that began before the quarantine do not extend it.
-    if (now >= state.until)
+    if (crashed_at >= state.until)
     {
         ++state.count;
         duration length = this->settings.first_quarantine;
@@ -262,10 +440,15 @@
              step < state.count && length < this->settings.max_quarantine;
              ++step)
         {
-            length *= 2;
+            length *= this->settings.quarantine_factor;
         }
         state.until = now + std::min(length, this->settings.max_quarantine);
     }
+    if (state.crashes >= max_crashes_of_part)
+    {
+        state.until =
+            std::max(state.until, now + this->settings.max_quarantine);
+    }
     this->changed.insert(trait);
     if (this->quarantines.size() > this->settings.max_quarantines)
     {
@@ -289,6 +472,11 @@
         quarantine.time_left, duration::zero(), this->settings.max_quarantine);
     state.until = std::max(state.until, now + time_left);
     state.count = std::max(state.count, quarantine.count);
+    state.crashes = std::max(state.crashes, quarantine.crashes);
+    if (!quarantine.grounds.crashes.empty())
+    {
+        state.grounds = quarantine.grounds;
+    }
     const std::set<std::uint64_t> companions(
         quarantine.companions.begin(), quarantine.companions.end());
     if (added)
@@ -331,7 +519,7 @@
         const auto [at, trait] = this->known_good_order.front();
         this->known_good_order.pop_front();
         if (const auto found = this->known_good.find(trait);
-            found != this->known_good.end() && found->second == at)
+            found != this->known_good.end() && found->second.entered == at)
         {
             this->known_good.erase(found);
         }
@@ -359,7 +547,7 @@
 {
     const auto found = this->known_good.find(trait);
     return found != this->known_good.end() &&
-           now - found->second <= this->settings.known_good_lifetime;
+           now - found->second.last <= this->settings.known_good_lifetime;
 }
 
 std::size_t crash_guard::crash_count(std::uint64_t trait) const
@@ -368,32 +556,89 @@
     return found == this->crash_counts.end() ? 0 : found->second;
 }
 
-std::size_t
-crash_guard::crashes_to_quarantine(time_point now, std::uint64_t trait) const
+std::size_t crash_guard::crashed_under(std::uint64_t trait) const
 {
-    std::set<std::string> crashed_by_trait;
     std::set<std::string> crashed;
+    std::size_t unnamed = 0;
     for (const crash_state& crash : this->crashes)
     {
-        if (contains(crash.traits, trait))
+        if (!contains(crash.traits, trait) &&
+            !contains(crash.concurrent, trait))
         {
-            crashed_by_trait.insert(crash.run.runner);
+            continue;
         }
-        else if (now - crash.at <= this->settings.other_crash_time)
+        if (crash.run.runner.empty())
+        {
+            ++unnamed;
+        }
+        else
         {
             crashed.insert(crash.run.runner);
         }
     }
-    const auto others = std::count_if(
-        crashed.begin(),
-        crashed.end(),
-        [&crashed_by_trait](const std::string& runner)
+    return crashed.size() + unnamed;
+}
+
+crash_guard::crash_summary
+crash_guard::summarize_crashes(time_point now, std::uint64_t trait) const
+{
+    std::set<std::string> with_trait;
+    std::set<std::string> recent;
+    std::size_t runs_in_time = 0;
+    for (const crash_state& crash : this->crashes)
+    {
+        if (contains(crash.traits, trait))
         {
-            return !crashed_by_trait.contains(runner);
-        });
-    return static_cast<std::size_t>(others) >= min_other_crashes
-               ? crashes_of_trait_among_others
-               : crashes_of_trait;
+            with_trait.insert(crash.run.runner);
+        }
+        if (now - crash.at <= this->settings.other_crash_time)
+        {
+            recent.insert(crash.run.runner);
+            ++runs_in_time;
+        }
+    }
+    crash_summary summary;
+    summary.with_trait = with_trait.size();
+    summary.others = static_cast<std::size_t>(std::count_if(
+        recent.begin(),
+        recent.end(),
+        [&with_trait](const std::string& runner)
+        {
+            return !with_trait.contains(runner);
+        }));
+    summary.runs_per_runner = recent.empty()
+                                  ? 0.0
+                                  : static_cast<double>(runs_in_time) /
+                                        static_cast<double>(recent.size());
+    return summary;
+}
+
+std::size_t
+crash_guard::crashes_to_quarantine(time_point now, std::uint64_t trait) const
+{
+    const crash_summary crashed = this->summarize_crashes(now, trait);
+    if (crashed.others < min_other_crashes)
+    {
+        return crashes_of_trait;
+    }
+    std::size_t needed = crashes_of_trait_among_others;
+    if (this->is_request_digest(trait))
+    {
+        return needed;
+    }
+    // Probability that a crashed runner had a run with the trait by chance.
+    const double by_chance =
+        1.0 - std::pow(
+                  1.0 - this->share_of_good_runs(now, trait),
+                  crashed.runs_per_runner);
+    const std::size_t runners = crashed.others + crashed.with_trait;
+    while (needed < max_crashes_to_quarantine &&
+           (by_chance >= 1.0 ||
+            chance_of_hits(runners, needed, by_chance) > chance_limit))
+    {
+        ++needed;
+    }
+    return needed;
 }
 
 void crash_guard::on_progress(
@@ -536,31 +781,48 @@
            this->quarantines.size();
 }
 
-std::vector<crashed_run> crash_guard::recent_crashes() const
+std::set<std::string> crash_guard::crashed_runners() const
+{
+    std::set<std::string> runners;
+    for (const crash_state& crash : this->crashes)
+    {
+        runners.insert(crash.run.runner);
+    }
+    return runners;
+}
+
+std::vector<crashed_run> crash_guard::recent_crashes(time_point now) const
 {
     std::vector<crashed_run> recent;
     for (auto crash = this->crashes.rbegin();
          crash != this->crashes.rend() && recent.size() < max_recent_crashes;
          ++crash)
     {
-        if (crash->traits.empty())
-        {
-            continue;
-        }
+        const duration age = now - crash->at;
         crashed_run run;
         run.id = crash->run.id;
+        run.runner = crash->run.runner;
+        run.age = age;
+        run.lasted = crash->at - crash->begun;
+        run.stage = crash->run.stage;
         for (const std::uint64_t trait : crash->traits)
         {
-            if (trait == crash->run.request_digest)
+            if (trait != crash->run.request_digest)
             {
-                run.request_digest = trait;
+                if (age <= this->settings.max_part_crash_age)
+                {
+                    run.parts.push_back(trait);
+                }
             }
-            else
+            else if (age <= this->settings.max_request_crash_age)
             {
-                run.parts.push_back(trait);
+                run.request_digest = trait;
             }
         }
-        recent.push_back(std::move(run));
+        if (run.request_digest != 0 || !run.parts.empty())
+        {
+            recent.push_back(std::move(run));
+        }
     }
     return recent;
 }
@@ -580,7 +842,9 @@
                 trait,
                 {state.companions.begin(), state.companions.end()},
                 state.count,
-                std::max(duration::zero(), state.until - now)};
+                std::max(duration::zero(), state.until - now),
+                state.crashes,
+                state.grounds};
         }
         changes.push_back(std::move(change));
     }
--- a/policy/serving/crash_guard.hpp
+++ b/policy/serving/crash_guard.hpp
@@ -40,26 +40,63 @@
     duration trial_time = std::chrono::milliseconds(500);
     /// Time for which a trait is known to be good after an event of a run.
     duration known_good_lifetime = std::chrono::seconds(10);
-    /// Time until a quarantined trait is tried again with one run. Doubled with
-    /// each crash of such a run.
-    duration first_quarantine = std::chrono::seconds(30);
+    /// Time until a quarantined trait is tried again with one run. Multiplied
+    /// by `quarantine_factor` with each crash of such a run.
+    duration first_quarantine = std::chrono::seconds(3);
+    std::int64_t quarantine_factor = 8;
     duration max_quarantine = std::chrono::hours(6);
     /// Time after the end of a quarantine in which no run was tried, after
     /// which it is forgotten.
     duration unused_quarantine_lifetime = std::chrono::hours(1);
     /// Time for which crashes of other runners weaken the evidence of a crash.
     duration other_crash_time = std::chrono::seconds(10);
+    /// Time within which runs that crash on the same runner are one crash.
+    duration same_crash_time = std::chrono::seconds(1);
+    /// Age of a reported crash up to which it may begin a quarantine of a part.
+    /// It covers a lost packet and the next report of the node. The outcome of
+    /// runs since an older crash may be known elsewhere only.
+    duration fresh_crash_age = std::chrono::milliseconds(300);
+    /// Age up to which a reported crash is evidence against parts of prompts.
+    /// Without an event of a run in the meantime, a quarantine would have
+    /// followed within this time.
+    duration max_part_crash_age = std::chrono::seconds(1);
+    /// The same for the digest of a whole request, which other requests do not
+    /// share.
+    duration max_request_crash_age = std::chrono::seconds(10);
+    /// Time over which the share of a trait in the good runs is averaged.
+    duration share_time = std::chrono::seconds(5);
     /// Inaccuracy of the times of progress and crash that nodes report.
     duration progress_tolerance = std::chrono::milliseconds(150);
     /// Maximum number of crashes, known good traits and quarantines that are
     /// remembered; the oldest are dropped first.
-    std::size_t max_crashes = 64;
+    std::size_t max_crashes = 256;
     std::size_t max_known_good = 16384;
     std::size_t max_quarantines = 256;
     /// Maximum number of crashed runs whose repeated reports are recognized.
     std::size_t max_reported_runs = 4096;
 };
 
+/// Returns crashed runs for logs, separated by commas: node, number and runner
+/// of the run, how far it had come, its duration and the age of the crash, both
+/// in milliseconds.
+std::string format_crashes(const std::vector<crashed_run>& crashes);
+
+/// Evidence on which a quarantine is based, for operators.
+struct quarantine_grounds
+{
+    /// Crashed runs with the trait, the latest last.
+    std::vector<crashed_run> crashes;
+    /// Number of runs, with any traits, that were good since the first of these
+    /// crashes.
+    std::int64_t good_runs = 0;
+    /// Share of the good runs that had the trait before, in thousandths.
+    std::int64_t share_permille = 0;
+    /// Number of runners that crashed lately without a run with the trait.
+    std::int64_t other_runners = 0;
+
+    bool operator==(const quarantine_grounds&) const = default;
+};
+
 /// Quarantine of a trait. Times are relative to the time of the message or the
 /// call.
 struct trait_quarantine
@@ -73,6 +110,9 @@
     std::int64_t count = 1;
     /// Time until the trait is tried again.
     duration time_left = duration::zero();
+    /// Number of runners that crashed under the trait.
+    std::int64_t crashes = 0;
+    quarantine_grounds grounds = {};
 
     bool operator==(const trait_quarantine&) const = default;
 };
@@ -100,8 +140,15 @@
 ///   began after the crash before.
 /// - Many runners that crash by themselves, or that close connections but live:
 ///   while other crashes have nothing in common with a trait, a third crash is
-///   needed to quarantine it, and a runner that goes on with its other runs did
-///   not crash.
+///   needed to quarantine it, or a fourth if the trait is so popular that it
+///   occurs in as many crashes by chance. A runner that goes on with its other
+///   runs did not crash. All runs that crash on one runner are one crash.
+/// - A coordinator that takes over, or that gets a new group, and knows none of
+///   the good runs before: reported crashes are evidence up to an age, and an
+///   older one than `fresh_crash_age` begins no quarantine of a part.
+/// - A wrong quarantine: the trait is tried again after seconds, with one run.
+///   The time until the next try grows with each crash; after
+///   `max_crashes_of_part` crashes there are no tries for hours.
 /// - Parts that always come together: only requests with all parts that the
 ///   crashes have in common are refused, and others are tried one at a time.
 class crash_guard
@@ -130,6 +177,10 @@
     /// against a trait.
     bool on_crash(time_point now, const crashed_run& run);
 
+    /// Records that a runner announced that it is leaving. Its crashes are
+    /// withdrawn, because it ended by itself.
+    void on_leaving(const std::string& runner);
+
     /// Applies a quarantine that another node decided.
     void on_quarantine(time_point now, const trait_quarantine& quarantine);
     /// Ends a quarantine and withdraws the evidence against the trait.
@@ -164,9 +215,12 @@
     /// counted.
     std::size_t remembered_traits() const;
 
-    /// Returns the most recent crashed runs with the traits that are not known
-    /// to be good, for other coordinators.
-    std::vector<crashed_run> recent_crashes() const;
+    /// Returns the most recent crashed runs with the traits against which they
+    /// are evidence, for other coordinators.
+    std::vector<crashed_run> recent_crashes(time_point now) const;
+
+    /// Returns the runners whose crashes are remembered.
+    std::set<std::string> crashed_runners() const;
 
     /// Returns the quarantines that this guard began, extended or ended since
     /// the last call.
@@ -181,14 +235,39 @@
     struct crash_state
     {
         crashed_run run;
+        time_point begun;
         time_point at;
+        /// Traits against which the crash counts.
         request_traits traits;
+        /// Traits whose earlier crash came after the begin of this run.
+        request_traits concurrent;
+        /// Number of good runs before the crash.
+        std::int64_t good_runs = 0;
     };
     struct quarantine_state
     {
         std::set<std::uint64_t> companions;
         std::int64_t count = 0;
+        std::int64_t crashes = 0;
         time_point until;
+        quarantine_grounds grounds;
+    };
+    /// Runners that crashed lately, as seen from a trait.
+    struct crash_summary
+    {
+        /// Runners with and without a crash that counts against the trait.
+        std::size_t with_trait = 0;
+        std::size_t others = 0;
+        /// Crashed runs per runner.
+        double runs_per_runner = 0.0;
+    };
+    /// A trait that was seen to be good.
+    struct good_trait
+    {
+        time_point entered;
+        time_point last;
+        /// Number of good runs, which decays over `share_time`.
+        double weight = 0.0;
     };
 
     bool is_known_good(time_point now, std::uint64_t trait) const;
@@ -196,26 +275,42 @@
     /// then are too few to doubt it.
     bool is_cleared(time_point now, std::uint64_t trait) const;
     std::size_t crash_count(std::uint64_t trait) const;
+    /// Returns the number of runners that crashed under a trait since it was
+    /// last good, at the same moment or not.
+    std::size_t crashed_under(std::uint64_t trait) const;
+    crash_summary summarize_crashes(time_point now, std::uint64_t trait) const;
+    /// Returns the share of the good runs that had the trait.
+    double share_of_good_runs(time_point now, std::uint64_t trait) const;
+    double decay(duration passed) const;
+    /// Returns whether a trait is the digest of a whole request.
+    bool is_request_digest(std::uint64_t trait) const;
+    bool should_quarantine(
+        time_point now, const crashed_run& run, std::uint64_t trait) const;
+    quarantine_grounds make_grounds(time_point now, std::uint64_t trait) const;
     /// Returns the number of crashes after which a trait is quarantined.
     std::size_t
     crashes_to_quarantine(time_point now, std::uint64_t trait) const;
     std::size_t runs_begun_since(time_point since, std::uint64_t trait) const;
-    /// Returns the traits of a crashed run that the crash counts against.
-    request_traits
-    choose_suspects(time_point now, const crashed_run& run) const;
+    /// Sets the traits of a crashed run that the crash counts against.
+    void choose_suspects(time_point now, crash_state& crash) const;
     void drop_crash(std::size_t index);
     void withdraw_crashes(std::uint64_t trait);
-    void quarantine(time_point now, std::uint64_t trait);
+    /// Begins or extends a quarantine after a crash.
+    void quarantine(time_point now, time_point crashed_at, std::uint64_t trait);
     void end_quarantine(std::uint64_t trait);
 
     crash_guard_settings settings;
     /// Runs in progress without an event.
     std::map<slot_id, run_state> runs;
     std::unordered_map<std::uint64_t, std::set<slot_id>> runs_by_trait;
-    /// Times at which traits were last seen to be good, and the same in order
-    /// of time. An entry of the order may be outdated.
-    std::unordered_map<std::uint64_t, time_point> known_good;
+    /// Traits that were seen to be good, and the times at which they were
+    /// entered. An entry of the order may be outdated.
+    std::unordered_map<std::uint64_t, good_trait> known_good;
     std::deque<std::pair<time_point, std::uint64_t>> known_good_order;
+    /// Number of good runs, all and with decay as for the traits.
+    std::int64_t good_runs = 0;
+    double good_weight = 0.0;
+    time_point good_weight_at;
     std::deque<crash_state> crashes;
     /// Number of crashes that count against each trait.
     std::unordered_map<std::uint64_t, std::size_t> crash_counts;
--- a/policy/serving/part_digests.cpp
+++ b/policy/serving/part_digests.cpp
@@ -30,6 +30,28 @@
     return digests;
 }
 
+part_digests digest_for_organisation(
+    std::string_view organisation,
+    std::uint64_t request_digest,
+    const part_digests& parts)
+{
+    part_digests digests;
+    if (organisation.empty())
+    {
+        return digests;
+    }
+    digests.reserve(parts.size() + 1);
+    if (request_digest != 0)
+    {
+        digests.push_back(hash_bytes(organisation, request_digest));
+    }
+    for (const std::uint64_t part : parts)
+    {
+        digests.push_back(hash_bytes(organisation, part));
+    }
+    return digests;
+}
+
 std::string to_text(const part_digests& digests)
 {
     std::string text;
--- a/policy/serving/part_digests.hpp
+++ b/policy/serving/part_digests.hpp
@@ -23,6 +23,16 @@
 part_digests
 digest_parts(std::string_view host, const std::vector<std::string>& parts);
 
+/// Returns digests of a request and of its parts that no request of another
+/// organisation has, to be added to its parts. A quarantine applies to requests
+/// that have everything in common that the crashes have, and so only to the
+/// organisation under which runners crashed, unless they crashed under several.
+/// Returns nothing without an organisation.
+part_digests digest_for_organisation(
+    std::string_view organisation,
+    std::uint64_t request_digest,
+    const part_digests& parts);
+
 /// Returns digests in hexadecimal form, separated by commas, for logs.
 std::string to_text(const part_digests& digests);
 
--- a/policy/serving/serving.hpp
+++ b/policy/serving/serving.hpp
@@ -5,6 +5,7 @@
 #define CHICORY_POLICY_SERVING_SERVING_HPP
 
 #include "policy/serving/coordinator_choice.hpp"
+#include "policy/serving/crash_evidence.hpp"
 #include "policy/serving/crash_guard.hpp"
 #include "policy/serving/event_splitter.hpp"
 #include "policy/serving/group_overflow.hpp"
--- a/policy/serving/slot_messages.hpp
+++ b/policy/serving/slot_messages.hpp
@@ -88,14 +88,33 @@
     bool operator==(const held_slot&) const = default;
 };
 
-/// A run whose runner closed the connection before the first event, as recorded
-/// by the node that sent the work.
+/// How far a run had come when its runner crashed.
+enum class crash_stage : std::uint8_t
+{
+    /// No response had begun.
+    before_response,
+    /// The response had begun, without an event.
+    before_first_event,
+};
+
+inline constexpr enum_table<crash_stage, 2> crash_stage_names = {{
+    {crash_stage::before_response, "before_response"},
+    {crash_stage::before_first_event, "before_first_event"},
+}};
+
+/// A run whose runner crashed before the first event, as recorded by the node
+/// that sent the work.
 struct crashed_run
 {
     std::uint64_t request_digest = 0;
     slot_id id;
     part_digests parts = {};
     std::string runner = {};
+    /// Time since the crash.
+    duration age = duration::zero();
+    /// Time from the start of the run to the crash.
+    duration lasted = duration::zero();
+    crash_stage stage = crash_stage::before_response;
 
     bool operator==(const crashed_run&) const = default;
 };
@@ -109,9 +128,9 @@
     /// No connection to the runner could be established.
     unreachable,
     /// No response arrived in time, the response was malformed, or the runner
-    /// closed the connection after the first event.
+    /// closed the connection and did not crash because of this run.
     broken,
-    /// The runner closed the connection before the first event.
+    /// The runner crashed before the first event; see `is_crash_evidence`.
     crashed,
     /// The node ended the work because the caller disconnected or the item was
     /// preempted.
--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -230,15 +230,26 @@
 }
 
 std::vector<slot_decision> slot_scheduler::on_release(
-    time_point now, const slot_id& id, slot_outcome outcome)
+    time_point now,
+    const slot_id& id,
+    slot_outcome outcome,
+    const request_traits& traits)
 {
     decisions out;
     this->on_node_message(now, id.node, id.incarnation);
     if (const auto run = this->running.find(id); run != this->running.end())
     {
+        if (run->second.traits.empty())
+        {
+            run->second.traits = traits;
+        }
         this->record_outcome(now, run->second, outcome);
         this->remove_running(id);
     }
+    else if (outcome == slot_outcome::completed && !traits.empty())
+    {
+        this->crashes.on_good_traits(now, traits);
+    }
     this->queue.erase(id);
     this->dispatch(out, now);
     return out;
@@ -255,15 +266,29 @@
     return out;
 }
 
-std::vector<slot_decision>
-slot_scheduler::on_first_event(time_point now, const slot_id& id)
+std::vector<slot_decision> slot_scheduler::on_first_event(
+    time_point now, const slot_id& id, const request_traits& traits)
 {
     decisions out;
     this->crashes.on_good_run(now, id);
+    if (!traits.empty())
+    {
+        this->crashes.on_good_traits(now, traits);
+    }
     this->dispatch(out, now);
     return out;
 }
 
+void slot_scheduler::on_runner_leaving(const std::string& runner)
+{
+    this->crashes.on_leaving(runner);
+}
+
+std::set<std::string> slot_scheduler::crashed_runners() const
+{
+    return this->crashes.crashed_runners();
+}
+
 std::vector<slot_decision> slot_scheduler::on_quarantine_change(
     time_point now, const quarantine_change& change)
 {
@@ -713,7 +738,7 @@
         idle + static_cast<std::int64_t>(this->batch_runs.size()) - reserved -
         waiting_online;
     status.batch_capacity = idle - reserved - waiting_online - waiting_batch;
-    status.crashed = this->crashes.recent_crashes();
+    status.crashed = this->crashes.recent_crashes(now);
     return status;
 }
 
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -103,18 +103,31 @@
     on_request(time_point now, const slot_request& request);
 
     /// Records that a request or a slot is not needed any more, and the outcome
-    /// of its use.
-    std::vector<slot_decision>
-    on_release(time_point now, const slot_id& id, slot_outcome outcome);
+    /// of its use. `traits` are those of the request if the node sent them; the
+    /// slot may have been granted by another coordinator.
+    std::vector<slot_decision> on_release(
+        time_point now,
+        const slot_id& id,
+        slot_outcome outcome,
+        const request_traits& traits = {});
 
     /// Records that a runner closed the connection before the first event of a
     /// run. Repeated reports of the same run have no effect. Requests that wait
     /// and are quarantined now are decided.
     std::vector<slot_decision> on_crash(time_point now, const crashed_run& run);
 
-    /// Records that a run returned its first event.
-    std::vector<slot_decision>
-    on_first_event(time_point now, const slot_id& id);
+    /// Records that a run returned its first event. `traits` are the traits of
+    /// the run if the node sent them; the slot may have been granted by another
+    /// coordinator.
+    std::vector<slot_decision> on_first_event(
+        time_point now, const slot_id& id, const request_traits& traits = {});
+
+    /// Records that a runner announced that it is leaving, which withdraws its
+    /// crashes.
+    void on_runner_leaving(const std::string& runner);
+
+    /// Returns the runners whose crashes are remembered.
+    std::set<std::string> crashed_runners() const;
 
     /// Applies a quarantine that another coordinator decided, or ends one.
     std::vector<slot_decision>
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -243,11 +243,14 @@
 }
 
 void online_call::release(
-    const slot_result& slot, serving::slot_outcome outcome)
+    const slot_result& slot,
+    serving::slot_outcome outcome,
+    serving::crash_stage stage)
 {
     this->services.slots.release(
         slot.id,
-        this->is_aborted() ? serving::slot_outcome::cancelled : outcome);
+        this->is_aborted() ? serving::slot_outcome::cancelled : outcome,
+        stage);
 }
 
 asio::awaitable<online_call::step> online_call::attempt()
@@ -313,6 +316,9 @@
     const duration left = this->deadline - read_monotonic_clock();
     const duration head_limit =
         may_repeat ? std::min<duration>(left, repeatable_head_limit) : left;
+    const serving::runner_entry* entry =
+        this->services.fleet.runners().find(slot.runner);
+    this->runner_started_ms = entry == nullptr ? 0 : entry->started_ms;
     runner_outcome outcome = co_await this->services.runners.send(
         slot.runner,
         this->make_request(slot.runner),
@@ -320,13 +326,10 @@
         this->send_cancellation);
     if (outcome.delivery != delivery_outcome::responding)
     {
-        this->release(
-            slot,
-            outcome.closed &&
-                    !this->services.fleet.runners().may_send(slot.runner)
-                ? serving::slot_outcome::broken
-                : to_slot_outcome(outcome));
-        co_return co_await this->handle_failure(slot.runner, outcome);
+        const serving::slot_outcome ended = co_await this->classify_end(
+            slot.runner, to_slot_outcome(outcome), false);
+        this->release(slot, ended, serving::crash_stage::before_response);
+        co_return co_await this->handle_failure(slot.runner, outcome, ended);
     }
     ++this->runs;
     this->stream = std::move(outcome.stream);
@@ -338,10 +341,12 @@
 }
 
 asio::awaitable<online_call::step> online_call::handle_failure(
-    const std::string& runner, const runner_outcome& outcome)
+    const std::string& runner,
+    const runner_outcome& outcome,
+    serving::slot_outcome ended)
 {
     this->failed_runners.push_back(runner);
-    this->log_failed_attempt(runner, to_slot_outcome(outcome), outcome.failure);
+    this->log_failed_attempt(runner, ended, outcome.failure);
     if (outcome.delivery == delivery_outcome::unknown)
     {
         ++this->runs;
@@ -445,17 +450,40 @@
         "first_piece", read_monotonic_clock() - this->arrived);
 }
 
-serving::slot_outcome online_call::classify_failure(
-    const slot_result& slot, const error& failure, bool has_event) const
+serving::closed_run online_call::describe_closed_run(
+    const std::string& runner, bool has_event) const
+{
+    const serving::runner_directory& directory = this->services.fleet.runners();
+    const serving::runner_entry* entry = directory.find(runner);
+    serving::closed_run closed;
+    closed.has_event = has_event;
+    closed.was_ready = directory.may_send(runner);
+    closed.same_process =
+        entry != nullptr && entry->started_ms == this->runner_started_ms;
+    closed.ended_here = this->is_aborted();
+    return closed;
+}
+
+asio::awaitable<serving::slot_outcome> online_call::classify_end(
+    std::string runner, serving::slot_outcome outcome, bool has_event)
 {
-    const serving::slot_outcome outcome = to_slot_outcome(failure);
-    // A runner that has begun to answer, or that leaves, did not end because of
-    // this request.
-    const bool is_evidence =
-        !has_event && this->services.fleet.runners().may_send(slot.runner);
-    return outcome == serving::slot_outcome::crashed && !is_evidence
-               ? serving::slot_outcome::broken
-               : outcome;
+    if (outcome != serving::slot_outcome::crashed)
+    {
+        co_return outcome;
+    }
+    if (!serving::is_crash_evidence(
+            this->describe_closed_run(runner, has_event)))
+    {
+        co_return serving::slot_outcome::broken;
+    }
+    const serving::runner_probe probe =
+        co_await this->services.runners.probe(runner);
+    // The runner's entry may have changed during the probe.
+    serving::closed_run closed = this->describe_closed_run(runner, has_event);
+    closed.probe = probe;
+    co_return serving::is_crash_evidence(closed)
+        ? serving::slot_outcome::crashed
+        : serving::slot_outcome::broken;
 }
 
 result<void> online_call::check_end() const
@@ -552,9 +580,11 @@
         }
         if (!complete_events)
         {
-            const serving::slot_outcome outcome = this->classify_failure(
-                slot, complete_events.error(), has_event);
             std::string failure = complete_events.error().text;
+            const serving::slot_outcome outcome = co_await this->classify_end(
+                slot.runner,
+                to_slot_outcome(complete_events.error()),
+                has_event);
             co_return co_await this->end_broken_run(
                 slot, outcome, std::move(failure));
         }
@@ -618,12 +648,15 @@
     }
     if (!whole)
     {
-        this->release(slot, this->classify_failure(slot, whole.error(), false));
+        const serving::slot_outcome ended = co_await this->classify_end(
+            slot.runner, to_slot_outcome(whole.error()), false);
+        this->release(slot, ended);
         runner_outcome broken_response;
         broken_response.delivery = delivery_outcome::unknown;
         broken_response.failure = whole.error().text;
         --this->runs;
-        co_return co_await this->handle_failure(slot.runner, broken_response);
+        co_return co_await this->handle_failure(
+            slot.runner, broken_response, ended);
     }
     response.body = std::move(whole.value());
     const bool failed = response.status >= status_failed &&
--- a/servers/node/online_call.hpp
+++ b/servers/node/online_call.hpp
@@ -70,14 +70,23 @@
     boost::asio::awaitable<void> reject_without_route();
     net::http_request make_request(const std::string& runner) const;
     boost::asio::awaitable<step> attempt();
-    boost::asio::awaitable<step>
-    handle_failure(const std::string& runner, const runner_outcome& outcome);
+    /// Continues after a run without a response; `ended` is the outcome with
+    /// which its slot was released.
+    boost::asio::awaitable<step> handle_failure(
+        const std::string& runner,
+        const runner_outcome& outcome,
+        serving::slot_outcome ended);
     boost::asio::awaitable<step> forward_response(const slot_result& slot);
     boost::asio::awaitable<step> forward_events(const slot_result& slot);
-    /// Returns the outcome of a run whose response broke off; `has_event` is
-    /// true if the run returned an event.
-    serving::slot_outcome classify_failure(
-        const slot_result& slot, const error& failure, bool has_event) const;
+    /// Returns the outcome of a run that ended with `outcome`: `crashed` only
+    /// if the end shows that the runner crashed. `has_event` is true if the run
+    /// returned an event.
+    boost::asio::awaitable<serving::slot_outcome> classify_end(
+        std::string runner, serving::slot_outcome outcome, bool has_event);
+    /// Returns what is known about a run whose connection was closed, without
+    /// a probe.
+    serving::closed_run
+    describe_closed_run(const std::string& runner, bool has_event) const;
     /// Checks that a stream may end here. Error: unavailable inside an event,
     /// before the first event of the caller's stream, or before the first event
     /// of a run that continues it: such a run does not show that the stream is
@@ -107,7 +116,10 @@
         const std::string& runner,
         serving::slot_outcome outcome,
         const std::string& failure) const;
-    void release(const slot_result& slot, serving::slot_outcome outcome);
+    void release(
+        const slot_result& slot,
+        serving::slot_outcome outcome,
+        serving::crash_stage stage = serving::crash_stage::before_first_event);
 
     run_services services;
     std::shared_ptr<const serving::serving_configuration> configuration;
@@ -129,6 +141,8 @@
     /// True after an event was forwarded to the caller.
     bool has_forwarded_event = false;
     std::vector<std::string> failed_runners;
+    /// Start of the process of the runner to which the current run was sent.
+    std::int64_t runner_started_ms = 0;
     std::uint64_t digest = 0;
     /// Digests of the parts of the prompt that other requests may share.
     serving::part_digests parts;
--- a/servers/node/quarantine_records.cpp
+++ b/servers/node/quarantine_records.cpp
@@ -56,7 +56,12 @@
     return json::serialize(json::object{
         {"companions", companions},
         {"count", quarantine.count},
-        {"until_ms", until_ms}});
+        {"until_ms", until_ms},
+        {"crashes", quarantine.crashes},
+        {"crashed_runs", serving::format_crashes(quarantine.grounds.crashes)},
+        {"good_runs", quarantine.grounds.good_runs},
+        {"share_permille", quarantine.grounds.share_permille},
+        {"other_runners", quarantine.grounds.other_runners}});
 }
 
 std::optional<serving::trait_quarantine>
@@ -76,6 +81,12 @@
         serving::trait_quarantine quarantine;
         quarantine.trait = *trait;
         quarantine.count = fields.at("count").to_number<std::int64_t>();
+        // Records of earlier versions lack it.
+        if (const json::value* crashes = fields.if_contains("crashes"))
+        {
+            quarantine.crashes =
+                std::max<std::int64_t>(0, crashes->to_number<std::int64_t>());
+        }
         const auto until_ms = fields.at("until_ms").to_number<std::int64_t>();
         const std::int64_t left_ms =
             std::clamp<std::int64_t>(until_ms, *now_ms, *now_ms + max_left_ms) -
--- a/servers/node/runner_caller.cpp
+++ b/servers/node/runner_caller.cpp
@@ -1,5 +1,10 @@
 #include "servers/node/runner_caller.hpp"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <chrono>
 #include <utility>
 
@@ -15,6 +20,9 @@
 /// zones. A runner that takes longer is considered down, and the request goes
 /// to another runner.
 constexpr std::chrono::milliseconds connect_limit(250);
+/// Time between the two connection attempts of a probe. The listening socket
+/// of a process that ends may be closed shortly after its connections.
+constexpr std::chrono::milliseconds probe_interval(10);
 
 } // namespace
 
@@ -116,6 +124,30 @@
     co_return outcome;
 }
 
+asio::awaitable<serving::runner_probe>
+runner_caller::probe(const std::string& runner)
+{
+    const serving::runner_entry* entry = this->fleet.runners().find(runner);
+    if (entry == nullptr)
+    {
+        co_return serving::runner_probe::failed;
+    }
+    const net::endpoint target{entry->address, entry->port};
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    const bool first =
+        co_await this->http.can_connect(target, duration(connect_limit));
+    if (!first)
+    {
+        co_return serving::runner_probe::failed;
+    }
+    timer.expires_after(probe_interval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    const bool second =
+        co_await this->http.can_connect(target, duration(connect_limit));
+    co_return second ? serving::runner_probe::accepted
+                     : serving::runner_probe::failed;
+}
+
 bool is_closed(const error& failure)
 {
     return failure.kind == error_kind::unavailable;
--- a/servers/node/runner_caller.hpp
+++ b/servers/node/runner_caller.hpp
@@ -66,6 +66,11 @@
         duration head_limit,
         net::http_cancellation& cancellation);
 
+    /// Checks whether a runner that closed the connection of a run still
+    /// accepts connections.
+    boost::asio::awaitable<serving::runner_probe>
+    probe(const std::string& runner);
+
 private:
     void record_leaving(
         const serving::runner_entry& target_runner,
@@ -80,7 +85,8 @@
 /// Returns whether an error means that the runner closed the connection.
 bool is_closed(const error& failure);
 
-/// Return the outcome with which a slot is released.
+/// Return the outcome with which a slot is released. An end of which nothing
+/// else is known is `crashed` if the runner closed the connection.
 serving::slot_outcome to_slot_outcome(const error& stream_failure);
 serving::slot_outcome to_slot_outcome(const runner_outcome& outcome);
 
--- a/servers/node/slot_client.cpp
+++ b/servers/node/slot_client.cpp
@@ -24,9 +24,6 @@
 constexpr std::chrono::milliseconds batch_tick_interval(400);
 /// Time after which a slot request without a response is sent again.
 constexpr std::chrono::milliseconds repeat_interval(40);
-/// Maximum number of runs that crashed a runner in a report; bounded because a
-/// report is one datagram.
-constexpr std::size_t max_reported_crashes = 16;
 /// Time between two reports of all slots in use.
 constexpr std::chrono::milliseconds report_interval(250);
 
@@ -291,7 +288,9 @@
 }
 
 void slot_client::release(
-    const serving::slot_id& id, serving::slot_outcome outcome)
+    const serving::slot_id& id,
+    serving::slot_outcome outcome,
+    serving::crash_stage stage)
 {
     const auto found = this->used_slots.find(id.number);
     if (found == this->used_slots.end())
@@ -300,18 +299,19 @@
     }
     const used_slot slot = std::move(found->second);
     this->used_slots.erase(found);
+    const time_point now = read_monotonic_clock();
+    const duration lasted = now - slot.granted_at;
     if (outcome == serving::slot_outcome::crashed && slot.request_digest != 0)
     {
-        const serving::crashed_run run = {
-            slot.request_digest, id, slot.parts, slot.runner};
-        this->own_guard.on_crash(read_monotonic_clock(), run);
-        std::deque<serving::crashed_run>& runs =
-            this->crashed_runs[slot.group.service];
-        runs.push_back(run);
-        if (runs.size() > max_reported_crashes)
-        {
-            runs.pop_front();
-        }
+        this->own_guard.on_crash(
+            now,
+            {slot.request_digest,
+             id,
+             slot.parts,
+             slot.runner,
+             duration::zero(),
+             lasted,
+             stage});
     }
     this->send_release(
         {slot.group,
@@ -319,7 +319,9 @@
          outcome,
          slot.request_digest,
          slot.parts,
-         slot.runner});
+         slot.runner,
+         lasted,
+         stage});
 }
 
 void slot_client::note_first_event(const serving::slot_id& id)
@@ -331,16 +333,27 @@
     }
     used_slot& slot = found->second;
     const time_point now = read_monotonic_clock();
-    this->own_guard.on_good_traits(
-        now, serving::make_traits(slot.request_digest, slot.parts));
-    if (!std::exchange(slot.report_first_event, false))
+    const serving::request_traits traits =
+        serving::make_traits(slot.request_digest, slot.parts);
+    this->own_guard.on_good_traits(now, traits);
+    // Any event ends the quarantine of a trait, also of a run that began before
+    // it.
+    const bool is_quarantined = this->fleet_guard.is_suspect(traits);
+    if (!std::exchange(slot.report_first_event, false) && !is_quarantined)
     {
         return;
     }
+    if (is_quarantined)
+    {
+        for (const std::uint64_t trait : traits)
+        {
+            this->fleet_guard.lift(trait);
+        }
+    }
     if (const std::optional<std::string> coordinator =
             this->find_coordinator(now, slot.group))
     {
-        this->send(*coordinator, wire::first_event{slot.group, id});
+        this->send(*coordinator, wire::first_event{slot.group, id, traits});
     }
 }
 
@@ -394,7 +407,10 @@
     if (const auto found = this->used_slots.find(id.number);
         found != this->used_slots.end())
     {
-        found->second.last_progress = read_monotonic_clock();
+        used_slot& slot = found->second;
+        slot.last_progress = read_monotonic_clock();
+        this->own_guard.on_progress(
+            slot.runner, slot.granted_at, slot.last_progress);
     }
 }
 
@@ -518,11 +534,7 @@
     report.group = group;
     report.node = this->self;
     report.incarnation = this->incarnation;
-    if (const auto known = this->crashed_runs.find(group.service);
-        known != this->crashed_runs.end())
-    {
-        report.crashed.assign(known->second.begin(), known->second.end());
-    }
+    report.crashed = this->recent_crashes(now, group.service);
     report.leaving = this->fleet.runners().leaving(group.service);
     for (const auto& [number, slot] : this->used_slots)
     {
@@ -557,8 +569,25 @@
     this->send(*coordinator, report);
 }
 
+std::vector<serving::crashed_run>
+slot_client::recent_crashes(time_point now, const std::string& service) const
+{
+    std::vector<serving::crashed_run> crashed =
+        this->own_guard.recent_crashes(now);
+    std::erase_if(
+        crashed,
+        [this, &service](const serving::crashed_run& run)
+        {
+            const serving::runner_entry* runner =
+                this->fleet.runners().find(run.runner);
+            return runner != nullptr && runner->service != service;
+        });
+    return crashed;
+}
+
 void slot_client::report_leaving(const serving::runner_entry& runner)
 {
+    this->own_guard.on_leaving(runner.id);
     this->send_report(
         read_monotonic_clock(),
         this->topology.grouping(runner.service)
--- a/servers/node/slot_client.hpp
+++ b/servers/node/slot_client.hpp
@@ -11,7 +11,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -113,8 +112,11 @@
     boost::asio::awaitable<slot_result>
     acquire(slot_requirements requirements, slot_cancellation& cancellation);
 
-    /// Releases a slot.
-    void release(const serving::slot_id& id, serving::slot_outcome outcome);
+    /// Releases a slot. `stage` applies to the outcome `crashed`.
+    void release(
+        const serving::slot_id& id,
+        serving::slot_outcome outcome,
+        serving::crash_stage stage = serving::crash_stage::before_response);
 
     /// Records the first event of the run in this slot.
     void note_first_event(const serving::slot_id& id);
@@ -185,6 +187,9 @@
     void update_group(pending_request& pending);
     void update_group(used_slot& slot);
     void send_report(time_point now, const serving::runner_group& group);
+    /// Returns the recent crashes of runners of a service under own runs.
+    std::vector<serving::crashed_run>
+    recent_crashes(time_point now, const std::string& service) const;
     /// Returns the groups in which this node uses slots or waits for one.
     std::set<serving::runner_group> groups_in_use();
     void apply_decision(
@@ -207,10 +212,9 @@
     /// coordinator can be reached.
     serving::crash_guard fleet_guard;
     /// Evidence of this node's own runs, for the time without a coordinator.
+    /// Reports include its recent crashes that were not withdrawn, for a new
+    /// coordinator and for one that missed the release of a slot.
     serving::crash_guard own_guard;
-    /// The latest runs that crashed a runner, by service. Reports include
-    /// them, so that a new coordinator receives them.
-    std::map<std::string, std::deque<serving::crashed_run>> crashed_runs;
     std::map<std::uint64_t, std::shared_ptr<pending_request>> pending_requests;
     std::map<std::uint64_t, used_slot> used_slots;
     /// Groups whose last report named a slot, a waiting request or a leaving
--- a/servers/node/slot_coordinator.cpp
+++ b/servers/node/slot_coordinator.cpp
@@ -22,6 +22,34 @@
 /// coordinator.
 constexpr std::chrono::milliseconds group_status_lifetime(500);
 
+void log_quarantine_change(
+    const serving::runner_group& group,
+    const serving::quarantine_change& change)
+{
+    if (!change.quarantine)
+    {
+        log_event(
+            event::trait_released,
+            {{"group", to_text(group)},
+             {"trait", serving::to_text({change.trait})}});
+        return;
+    }
+    const serving::trait_quarantine& quarantine = *change.quarantine;
+    const serving::quarantine_grounds& grounds = quarantine.grounds;
+    log_event(
+        event::trait_quarantined,
+        {{"group", to_text(group)},
+         {"trait", serving::to_text({change.trait})},
+         {"companions", serving::to_text(quarantine.companions)},
+         {"count", quarantine.count},
+         {"time_left_ms", quarantine.time_left.count() / 1000},
+         {"crashes", quarantine.crashes},
+         {"crashed_runs", serving::format_crashes(grounds.crashes)},
+         {"good_runs", grounds.good_runs},
+         {"share_permille", grounds.share_permille},
+         {"other_runners", grounds.other_runners}});
+}
+
 } // namespace
 
 slot_coordinator::slot_coordinator(
@@ -78,6 +106,7 @@
     }
     this->seen_runners_version = version;
     this->next_refresh = now + duration(refresh_interval);
+    this->withdraw_crashes_of_leaving_runners();
     for (auto& [group, scheduler] : this->groups)
     {
         this->send_decisions(
@@ -88,6 +117,23 @@
     }
 }
 
+void slot_coordinator::withdraw_crashes_of_leaving_runners()
+{
+    for (auto& [group, scheduler] : this->groups)
+    {
+        for (const std::string& runner : scheduler.crashed_runners())
+        {
+            const serving::runner_entry* entry =
+                this->fleet.runners().find(runner);
+            if (entry != nullptr &&
+                entry->state == serving::runner_state::draining)
+            {
+                scheduler.on_runner_leaving(runner);
+            }
+        }
+    }
+}
+
 serving::slot_scheduler& slot_coordinator::find_or_add_scheduler(
     time_point now, const serving::runner_group& group)
 {
@@ -132,19 +178,7 @@
     for (const serving::quarantine_change& change :
          this->groups.at(group).take_quarantine_changes(now))
     {
-        log_event(
-            change.quarantine ? event::trait_quarantined
-                              : event::trait_released,
-            {{"group", to_text(group)},
-             {"trait", serving::to_text({change.trait})},
-             {"companions",
-              serving::to_text(
-                  change.quarantine ? change.quarantine->companions
-                                    : serving::part_digests())},
-             {"count", change.quarantine ? change.quarantine->count : 0},
-             {"time_left_ms",
-              change.quarantine ? change.quarantine->time_left.count() / 1000
-                                : 0}});
+        log_quarantine_change(group, change);
         this->on_quarantine_change(change);
         this->on_quarantine(change);
     }
@@ -245,7 +279,10 @@
                 {release.request_digest,
                  release.id,
                  release.parts,
-                 release.runner}));
+                 release.runner,
+                 duration::zero(),
+                 release.lasted,
+                 release.stage}));
         this->spread_quarantines(now, release.group);
         // The coordinators of the other groups learn of it with the next tick.
         this->next_status = now;
@@ -253,7 +290,11 @@
     this->send_decisions(
         release.group,
         "",
-        scheduler.on_release(now, release.id, release.outcome));
+        scheduler.on_release(
+            now,
+            release.id,
+            release.outcome,
+            serving::make_traits(release.request_digest, release.parts)));
 }
 
 void slot_coordinator::handle_first_event(
@@ -263,7 +304,7 @@
         reported.group,
         "",
         this->find_or_add_scheduler(now, reported.group)
-            .on_first_event(now, reported.id));
+            .on_first_event(now, reported.id, reported.traits));
     this->spread_quarantines(now, reported.group);
 }
 
@@ -273,6 +314,10 @@
     for (const serving::leaving_runner& runner : report.leaving)
     {
         this->fleet.runners().on_leaving(runner.id, runner.started_ms);
+        for (auto& [group, known_scheduler] : this->groups)
+        {
+            known_scheduler.on_runner_leaving(runner.id);
+        }
     }
     this->refresh_runners(now, false);
     serving::slot_scheduler& scheduler =
--- a/servers/node/slot_coordinator.hpp
+++ b/servers/node/slot_coordinator.hpp
@@ -64,6 +64,8 @@
 
     void tick();
     void refresh_runners(time_point now, bool always);
+    /// Withdraws the crashes of runners that announced that they are leaving.
+    void withdraw_crashes_of_leaving_runners();
     serving::slot_scheduler&
     find_or_add_scheduler(time_point now, const serving::runner_group& group);
     void send_decisions(
--- a/tests/servers/node/deadly_part_test.cpp
+++ b/tests/servers/node/deadly_part_test.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -216,6 +217,38 @@
         });
 }
 
+// Guards against sound requests that are refused because live runners closed
+// the connections of several requests with the same part.
+TEST_F(deadly_part_test, runners_that_only_close_connections_accuse_no_part)
+{
+    this->start_node("vm-1");
+    for (const std::unique_ptr<standins::engine_standin>& runner :
+         this->runners)
+    {
+        runner->closed_streams = 2;
+    }
+    for (int round = 0; round < 8; ++round)
+    {
+        EXPECT_NE(this->ask("ab:50,ac:40"), 503);
+    }
+    const auto has_closed_all = [this]
+    {
+        return std::all_of(
+            this->runners.begin(),
+            this->runners.end(),
+            [](const std::unique_ptr<standins::engine_standin>& runner)
+            {
+                return runner->closed_streams == 0;
+            });
+    };
+    for (int round = 0; round < 20 && !has_closed_all(); ++round)
+    {
+        EXPECT_NE(this->ask("ab:50,ac:40"), 503);
+    }
+    EXPECT_TRUE(has_closed_all());
+    EXPECT_EQ(this->ask("ab:50,ac:40"), 200);
+}
+
 TEST_F(deadly_part_test, another_member_may_use_the_same_value)
 {
     this->start_node("vm-1");
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -17,6 +17,8 @@
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t max_body_bytes = 1 << 20;
+/// Time for which a crashed runner accepts no connections.
+constexpr std::chrono::milliseconds restart_time(100);
 
 std::string
 get_header(const net::http_headers& headers, const std::string& name)
@@ -66,6 +68,22 @@
            std::to_string(this->started_ms) + R"(,"seq":1})";
 }
 
+void engine_standin::restart_later()
+{
+    const std::uint16_t port = this->server.port();
+    this->server.stop_accepting();
+    const auto timer = std::make_shared<asio::steady_timer>(this->context);
+    timer->expires_after(restart_time);
+    timer->async_wait(
+        [this, timer, port](boost::system::error_code code)
+        {
+            if (!code)
+            {
+                this->server.listen({"127.0.0.1", port}).value();
+            }
+        });
+}
+
 asio::awaitable<void>
 engine_standin::handle_request(net::http_exchange& exchange)
 {
@@ -138,6 +156,12 @@
         timer.expires_after(this->event_time);
         co_await timer.async_wait(as_result);
         ++this->crashes;
+        this->restart_later();
+        co_return;
+    }
+    if (this->closed_streams > 0)
+    {
+        --this->closed_streams;
         co_return;
     }
     const std::size_t crashes_before = this->crashes;
--- a/tests/standins/engine_standin.hpp
+++ b/tests/standins/engine_standin.hpp
@@ -56,10 +56,14 @@
     std::int64_t break_after_event = 0;
     /// A request whose prompt has this part, but not as its last one, ends
     /// after the head of its response, and so does every other request in
-    /// progress: the runner crashes. Empty disables this.
+    /// progress: the runner crashes, and accepts no connections for a moment.
+    /// Empty disables this.
     std::string deadly_part;
     /// Number of such crashes.
     std::size_t crashes = 0;
+    /// Number of further streams whose connection the runner closes after the
+    /// head, while it continues to serve.
+    std::size_t closed_streams = 0;
     /// If true, the next stream sends bytes that never complete an event until
     /// the caller disconnects.
     bool sends_stalled_stream = false;
@@ -78,6 +82,7 @@
     boost::asio::awaitable<void> handle_request(net::http_exchange& exchange);
     boost::asio::awaitable<void>
     stream(net::http_exchange& exchange, std::size_t index);
+    void restart_later();
 
     boost::asio::io_context& context;
     std::string instance;
--- a/wire/slot_packet.cpp
+++ b/wire/slot_packet.cpp
@@ -45,6 +45,9 @@
 void serialize(Archive& archive, crashed_run& value)
 {
     archive(value.request_digest, value.id, value.parts, value.runner);
+    serialize_duration(archive, value.age);
+    serialize_duration(archive, value.lasted);
+    archive(value.stage);
 }
 
 template <class Archive>
@@ -95,12 +98,14 @@
         value.request_digest,
         value.parts,
         value.runner);
+    serving::serialize_duration(archive, value.lasted);
+    archive(value.stage);
 }
 
 template <class Archive>
 void serialize(Archive& archive, first_event& value)
 {
-    archive(value.group, value.id);
+    archive(value.group, value.id, value.traits);
 }
 
 template <class Archive>
--- a/wire/slot_packet.hpp
+++ b/wire/slot_packet.hpp
@@ -22,14 +22,19 @@
     /// Digests of the shared parts of its prompt.
     serving::part_digests parts = {};
     std::string runner = {};
+    /// Outcome `crashed`: time from the start of the run to the crash.
+    duration lasted = duration::zero();
+    serving::crash_stage stage = serving::crash_stage::before_response;
 };
 
 /// Reports that a run returned its first event, if the decision that granted
-/// its slot asked for it.
+/// its slot asked for it or a trait of the run is quarantined.
 struct first_event
 {
     serving::runner_group group;
     serving::slot_id id;
+    /// Traits of the run, for a coordinator that did not grant its slot.
+    serving::request_traits traits = {};
 };
 
 /// All slots of a group that a node holds, and all its waiting requests.
