--- a/servers/control_client/client.cpp
+++ b/servers/control_client/client.cpp
@@ -19,6 +19,16 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+platform::store_client_settings
+make_store_settings(const client_settings& source)
+{
+    platform::store_client_settings settings;
+    settings.address = source.record_store;
+    settings.read_limit = source.platform.call_limit;
+    settings.write_limit = source.platform.call_limit;
+    return settings;
+}
+
 } // namespace
 
 client::client(
@@ -36,7 +46,15 @@
           {
               return this->identifiers.next("op-");
           },
-          read_wall_clock_ms)
+          read_wall_clock_ms),
+      records(
+          context.get_executor(),
+          make_store_settings(initial_settings),
+          []
+          {
+              return std::vector<net::endpoint>();
+          }),
+      quarantines(records)
 {
 }
 
--- a/servers/control_client/client.hpp
+++ b/servers/control_client/client.hpp
@@ -1,11 +1,13 @@
 #ifndef CHICORY_SERVERS_CONTROL_CLIENT_CLIENT_HPP
 #define CHICORY_SERVERS_CONTROL_CLIENT_CLIENT_HPP
 
+#include "platform/platform.hpp"
 #include "servers/control_client/client_settings.hpp"
 #include "servers/control_client/configuration_commands.hpp"
 #include "servers/control_client/fleet_commands.hpp"
 #include "servers/control_client/history_commands.hpp"
 #include "servers/control_client/job_commands.hpp"
+#include "servers/control_client/quarantine_commands.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -34,6 +36,9 @@
     history_commands history;
     fleet_commands fleet;
     job_commands jobs;
+    /// Store of chicory-node.
+    platform::store_client records;
+    quarantine_commands quarantines;
 
 private:
     edit_hook make_edit_hook();
--- a/servers/control_client/client_settings.cpp
+++ b/servers/control_client/client_settings.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+constexpr std::int64_t max_port = 65535;
+
 void read_gates(settings_reader& reader, std::vector<net::endpoint>& gates)
 {
     for (const std::string& text : reader.optional_strings("gates"))
@@ -30,6 +32,15 @@
     client_settings settings;
     settings.operator_name = reader.required_string("operator");
     settings.platform = drivers::read_platform_settings(reader);
+    settings.record_store.address = reader.optional_address(
+        "platform.record_store_address",
+        settings.platform.object_store.address);
+    settings.record_store.port =
+        static_cast<std::uint16_t>(reader.optional_integer(
+            "platform.record_store_port",
+            settings.platform.object_store.port,
+            1,
+            max_port));
     read_gates(reader, settings.gates);
     settings.charts = reader.optional_string("charts", "charts");
     BOOST_OUTCOME_TRY(reader.finish());
--- a/servers/control_client/client_settings.hpp
+++ b/servers/control_client/client_settings.hpp
@@ -19,6 +19,9 @@
     drivers::platform_settings platform;
     /// Caller-facing HTTP endpoints of the gates that `status` queries.
     std::vector<net::endpoint> gates;
+    /// Store of chicory-node, for `quarantine`; the object store's endpoint
+    /// unless set.
+    net::endpoint record_store;
     /// Folder of the state charts.
     std::string charts;
 };
--- a/servers/control_client/command_parser.cpp
+++ b/servers/control_client/command_parser.cpp
@@ -168,6 +168,33 @@
         });
 }
 
+void add_quarantines(CLI::App& app, invocation& options)
+{
+    CLI::App* const group = app.add_subcommand(
+        "quarantine", "Shows and lifts quarantines of chicory-node");
+    group->require_subcommand(1);
+    group->add_subcommand("list", "Lists quarantines with their evidence")
+        ->callback(
+            [&options]
+            {
+                options.run = [](client& session)
+                {
+                    return session.quarantines.list();
+                };
+            });
+    CLI::App* const lift = group->add_subcommand(
+        "lift", "Ends the quarantine of a trait on the whole fleet");
+    lift->add_option("trait", options.id, "Trait as listed")->required();
+    lift->callback(
+        [&options]
+        {
+            options.run = [&options](client& session)
+            {
+                return session.quarantines.lift(options.id);
+            };
+        });
+}
+
 void add_fleet(CLI::App& app, invocation& options)
 {
     CLI::App* const runners = app.add_subcommand("runner", "Shows runners");
@@ -234,6 +261,7 @@
     add_table(app, options, table_kind::pool);
     add_history(app, options);
     add_jobs(app, options);
+    add_quarantines(app, options);
     add_fleet(app, options);
     add_explain(app, options);
 }
--- a/servers/control_client/control_client.hpp
+++ b/servers/control_client/control_client.hpp
@@ -12,6 +12,7 @@
 #include "servers/control_client/history_commands.hpp"
 #include "servers/control_client/job_commands.hpp"
 #include "servers/control_client/log_explanation.hpp"
+#include "servers/control_client/quarantine_commands.hpp"
 #include "servers/control_client/runner_loads.hpp"
 
 #endif
