Quarantine: Count crashes for each organisation as well

A part that crashes runners under one organisation's requests could have other organisations' requests with that part refused. Requests of an organisation now carry digests of their own beside those of their parts, so that a quarantine applies to others only after a crash under both (crashes_under_one_organisation_refuse_no_other). Nothing changes without organisations.

--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -76,6 +76,9 @@
             this->parameters.prompt_parts, hash_bytes(caller.head().target)));
     this->parts = serving::digest_parts(
         initial_route.host, this->parameters.shared_parts);
+    const serving::part_digests own_parts = serving::digest_for_organisation(
+        this->organisation, this->digest, this->parts);
+    this->parts.insert(this->parts.end(), own_parts.begin(), own_parts.end());
 }
 
 asio::awaitable<void> online_call::run()
