Memory of runners: Give up no item, and refuse large requests with 503

Cause: an item larger than kv_capacity was listed as errored although no runner had stated that it can never be done, and a request larger than kv_capacity got 413, where a full runner's refusal is a 503. With organisations a request could carry 64 traced digests, more than a quarantine record may have, so that the record was not read by others.

Change: such an item waits (an_item_larger_than_any_memory_waits), such a request gets 503 at once, and the traced parts are bounded before those of the organisation are added.

--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -243,7 +243,9 @@
     {
         return false;
     }
-    if (this->runners.exceeds_every_memory(request))
+    // An item may be given up only when its retention ends, so it waits.
+    if (request.kind == work_kind::online &&
+        this->runners.exceeds_every_memory(request))
     {
         out.push_back({request.id, slot_decision_kind::refused, "", {}, {}});
         return false;
--- a/servers/node/item_execution.cpp
+++ b/servers/node/item_execution.cpp
@@ -213,19 +213,6 @@
         co_return step::retry;
     }
     slot_requirements requirements = this->make_slot_requirements(*found_route);
-    if (const std::int64_t capacity = serving::find_token_capacity(
-            *this->services.fleet.configuration(), requirements.service);
-        capacity > 0 && requirements.tokens > capacity)
-    {
-        log_event(
-            event::item_interrupted,
-            {{"job", this->job},
-             {"item", this->item.id},
-             {"error",
-              "expected at most " + std::to_string(capacity) +
-                  " tokens, found " + std::to_string(requirements.tokens)}});
-        co_return step::impossible;
-    }
     const time_point target_deadline = requirements.target_deadline;
     const std::string host = found_route->host;
     const slot_result slot = co_await this->services.slots.acquire(
--- a/servers/node/online_call.cpp
+++ b/servers/node/online_call.cpp
@@ -1,6 +1,7 @@
 #include "servers/node/online_call.hpp"
 
 #include "servers/node/access_refusal.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -19,7 +20,6 @@
 constexpr int status_ok = 200;
 constexpr int status_first_redirection = 300;
 constexpr int status_not_found = 404;
-constexpr int status_too_large = 413;
 constexpr int status_failed = 500;
 constexpr int status_bad_gateway = 502;
 constexpr int status_gateway_timeout = 504;
@@ -76,6 +76,12 @@
             this->parameters.prompt_parts, hash_bytes(caller.head().target)));
     this->parts = serving::digest_parts(
         initial_route.host, this->parameters.shared_parts);
+    if (!this->organisation.empty())
+    {
+        // Each part gets a second digest, and all must fit into a record.
+        this->parts.resize(
+            std::min(this->parts.size(), (serving::max_traced_parts - 1) / 2));
+    }
     const serving::part_digests own_parts = serving::digest_for_organisation(
         this->organisation, this->digest, this->parts);
     this->parts.insert(this->parts.end(), own_parts.begin(), own_parts.end());
@@ -986,10 +992,8 @@
          {"reason", std::string(name_of(reason::too_many_tokens))},
          {"tokens", tokens},
          {"token_capacity", capacity}});
-    co_await this->exchange.respond(net::make_text_response(
-        status_too_large,
-        "request: expected at most " + std::to_string(capacity) +
-            " tokens of prompt and output, found " + std::to_string(tokens)));
+    co_await this->exchange.respond(platform::make_refusal(
+        duration::zero(), name_of(reason::too_many_tokens)));
 }
 
 asio::awaitable<void> online_call::fail(int status, reason why)
--- a/tests/policy/serving/placement_test.cpp
+++ b/tests/policy/serving/placement_test.cpp
@@ -360,6 +360,24 @@
         std::vector<std::string>{"r0"});
 }
 
+// Guards against an item that is refused again and again, or given up, because
+// no runner can hold it now: it waits, and runs when a larger runner comes.
+TEST(slot_scheduler_memory, an_item_larger_than_any_memory_waits)
+{
+    slot_scheduler scheduler;
+    scheduler.set_runners(start, {{"r0", "z1", 8, 1000}});
+    slot_request item = make_item(1);
+    item.tokens = 1001;
+    for (const slot_decision& decision : scheduler.on_request(start, item))
+    {
+        EXPECT_EQ(decision.kind, slot_decision_kind::queued);
+    }
+    EXPECT_EQ(
+        granted_runners(scheduler.set_runners(
+            start + 10ms, {{"r0", "z1", 8, 1000}, {"r1", "z1", 8, 2000}})),
+        std::vector<std::string>{"r1"});
+}
+
 // Guards against a large request that smaller ones overtake until its deadline.
 TEST(slot_scheduler_memory, a_large_request_is_overtaken_for_a_short_time_only)
 {
