Quotas: Begin as after a takeover when the VM was suspended

Cause: a coordinator that was suspended for seconds saw no time pass on its own clock. Statuses from before the suspension still proved contact with the majority, so that it could grant a quota that its successor had granted.

Change: the difference to the boot clock shows a suspension; the coordinator then forgets whom it heard, and grants only the reserve of a takeover until the others respond. Nothing changes without organisations.

--- a/policy/serving/quota_contacts.cpp
+++ b/policy/serving/quota_contacts.cpp
@@ -108,6 +108,21 @@
     this->takeover_at = now;
 }
 
+bool quota_contacts::on_clocks(time_point now, boot_time_point boot_now)
+{
+    const duration difference =
+        boot_now.time_since_epoch() - now.time_since_epoch();
+    const duration before =
+        std::exchange(this->clock_difference, difference).value_or(difference);
+    if (difference - before < this->settings.min_suspension)
+    {
+        return false;
+    }
+    this->heard_at.clear();
+    this->on_takeover(now);
+    return true;
+}
+
 bool quota_contacts::is_participant() const
 {
     return std::find(
--- a/policy/serving/quota_contacts.hpp
+++ b/policy/serving/quota_contacts.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,6 +24,9 @@
     duration lost_lifetime = std::chrono::seconds(60);
     /// Time after a takeover within which the others respond.
     duration takeover_grace = std::chrono::milliseconds(300);
+    /// Shortest suspension that counts: about the time after which nodes ask
+    /// another coordinator.
+    duration min_suspension = std::chrono::milliseconds(90);
 };
 
 /// Minimum number of nodes that exchange statuses, so that the failure of two
@@ -72,6 +76,13 @@
     /// Records that this node takes over a group.
     void on_takeover(time_point now);
 
+    /// Compares the process's clock with one that runs on while the machine is
+    /// suspended. Returns whether the machine was suspended since the last
+    /// call; what was heard before proves no contact then. Designed for a
+    /// coordinator that is suspended and does not know that its successor
+    /// granted the quotas meanwhile.
+    bool on_clocks(time_point now, boot_time_point boot_now);
+
     quota_contact find_contact(time_point now) const;
 
     /// Returns whether this node is a participant.
@@ -96,6 +107,8 @@
     std::map<std::string, time_point> live_at;
     std::size_t live_count = 1;
     time_point takeover_at;
+    /// Difference of the clocks at the last call of `on_clocks`.
+    std::optional<duration> clock_difference;
 };
 
 } // namespace chicory::serving
--- a/servers/node/slot_coordinator.cpp
+++ b/servers/node/slot_coordinator.cpp
@@ -106,6 +106,7 @@
 void slot_coordinator::tick()
 {
     const time_point now = read_monotonic_clock();
+    this->check_suspension(now);
     this->refresh_runners(now, false);
     if (this->has_organisations())
     {
@@ -313,6 +314,16 @@
     }
 }
 
+void slot_coordinator::check_suspension(time_point now)
+{
+    if (this->has_organisations() &&
+        this->contacts.on_clocks(now, read_boot_clock()))
+    {
+        this->quotas.on_takeover(now);
+        this->quotas.set_contact(now, this->contacts.find_contact(now));
+    }
+}
+
 bool slot_coordinator::has_organisations() const
 {
     const auto configuration = this->fleet.configuration();
@@ -380,6 +391,7 @@
     const std::string& sender, const wire::slot_packet& packet)
 {
     const time_point now = read_monotonic_clock();
+    this->check_suspension(now);
     this->refresh_runners(now, false);
     if (const auto* request = std::get_if<serving::slot_request>(&packet))
     {
--- a/servers/node/slot_coordinator.hpp
+++ b/servers/node/slot_coordinator.hpp
@@ -103,6 +103,9 @@
     /// capacity to its peer groups.
     void add_own_groups(time_point now);
     void send_group_status(time_point now);
+    /// Grants only a reserve of each quota after a suspension of the machine
+    /// until the other coordinators have responded.
+    void check_suspension(time_point now);
     /// Returns whether the configuration contains organisations.
     bool has_organisations() const;
     /// Updates the nodes that exchange quota statuses when the members or the
