--- a/review/7/run.py
+++ b/review/7/run.py
@@ -1,120 +1,106 @@
-"""Another writer's entry, with a field of another type, names a runner under a
-service that it doesn't serve."""
+"""Sound items wait for ever behind items that are larger than any runner."""
 import asyncio
-import json
 import sys
 import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib-2"))
-import http11
-from case import BROKEN, HELD, HOST, NOT_RUN, TROUBLE, main
-from fleet import Fleet, make_config
-from runner import Runner
+from case import (BROKEN, HELD, HOST, NOT_RUN, TROUBLE, main, make_item,
+                  read_all, submit)
+from fleet import Fleet, make_batch_route, make_config
+from runner import Runner, make_text
 from store import Store
 
-NODES = 2
-KV_CAPACITY = 101_495
-SERVICES = ("letters", "replies")
-CLIENTS = 4
-LENGTH_S = 10
-FOREIGN_FROM_S = 3
-FOREIGN_PAUSE_S = 0.7
-FOREIGN_WRITES = 5
-
-
-def make_route(service):
-    return {"name": f"r-{service}", "host": HOST, "prefix": f"/{service}/",
-            "route_kind": "streaming", "timeout_ms": 5000,
-            "target_latency_ms": 300, "priority": 0, "service": service,
-            "max_attempts": 1, "sticky": True, "resumable": False,
-            "itl_target_ms": 300}
+NODES = 3
+RUNNERS = 2
+KV_CAPACITY = 134_354
+LARGE_TOKENS = 140_000
+ITEMS = 10
+LARGE_JOBS_EACH = 2
+SOUND_JOBS_EACH = 2
+FINISH_S = 18
+CALM_S = 5
+QUIET_S = 3
 
 
 async def run(record):
     store = Store()
     await store.start()
-    runners = []
-    for at, service in enumerate(SERVICES):
-        for number in range(2):
-            runners.append(Runner(
-                store, f"i-{service}-{number}", service, "127.0.0.1",
-                f"z{number + 1}"))
-            await runners[-1].start()
+    runners = [Runner(store, f"i-{n}", "letters", "127.0.0.1", f"z{n + 1}",
+                      kv_capacity=KV_CAPACITY) for n in range(RUNNERS)]
+    for runner in runners:
+        await runner.start()
     await store.put("op", "config", make_config(
-        7, [make_route(service) for service in SERVICES],
-        {service: KV_CAPACITY for service in SERVICES}))
+        7, [make_batch_route("r-jobs", HOST, "/jobs/", "letters")],
+        {"letters": KV_CAPACITY}))
     fleet = Fleet(store, NODES, record=record)
     try:
         await fleet.start()
         if not await fleet.wait_ready():
             return NOT_RUN
         await asyncio.sleep(2)
-        return await judge(record, store, fleet, runners)
+        return await judge(record, fleet, runners)
     finally:
         await fleet.stop()
 
 
-async def write_foreign_entries(record, store, runner):
-    await asyncio.sleep(FOREIGN_FROM_S)
-    for _ in range(FOREIGN_WRITES):
-        # What runners write, but the service is another one's, and seq is a
-        # text: fields of another type mark an entry of another writer.
-        entry = {"service": SERVICES[1], "addr": f"{runner.host}:{runner.port}",
-                 "zone": runner.zone, "version": "v1", "slots": runner.slots,
-                 "state": "ready", "cold_left_ms": 0, "seq": "4"}
-        await store.put("servers", runner.name, entry)
-        record(f"another writer puts servers/{runner.name} "
-               f"{json.dumps(entry)}")
-        await asyncio.sleep(FOREIGN_PAUSE_S)
-
-
-async def send_requests(fleet, client, service, until, answers):
-    number = 0
+async def judge(record, fleet, runners):
+    tokens = LARGE_TOKENS if TROUBLE else 350
+    for node in fleet.nodes:
+        for number in range(LARGE_JOBS_EACH):
+            job = f"large{node.name[-1]}{number}"
+            status = await submit(node, job, [
+                make_item(f"{job}-{at}", tokens) for at in range(ITEMS)])
+            record(f"sent {job} of {ITEMS} items with {tokens} tokens each to "
+                   f"{node.name}: {status}")
+            if status != 202:
+                return NOT_RUN
+    await asyncio.sleep(1)
+    sound = []
+    for node in fleet.nodes:
+        for number in range(SOUND_JOBS_EACH):
+            job = f"sound{node.name[-1]}{number}"
+            status = await submit(node, job, [
+                make_item(f"{job}-{at}") for at in range(ITEMS)])
+            record(f"sent {job} of {ITEMS} items with 350 tokens each to "
+                   f"{node.name}: {status}")
+            if status != 202:
+                return NOT_RUN
+            sound.append(job)
+    record(f"traffic has ended; finish_s is {FINISH_S}")
+    await asyncio.sleep(FINISH_S - CALM_S)
+    most_running = 0
+    until = time.monotonic() + CALM_S
     while time.monotonic() < until:
-        number += 1
-        attempt = f"{service}{client}x{number}"
-        node = fleet.nodes[number % NODES]
-        status, headers, _ = await http11.call(
-            node.ip, node.front, "POST", f"/{service}/{attempt}",
-            {"Host": HOST, "X-Attempt-Id": attempt, "X-Model": "m",
-             "X-Token-Counts": "250,100",
-             "X-Prefix-Hash": f"5c1e07a2:100,{client:x}{number:x}:150",
-             "X-Deadline-Ms": "5000"}, b"x" * 1500, 6)
-        answers.append((attempt, status, headers.get("x-instance-id", "")))
-        await asyncio.sleep(0.05)
-
-
-async def judge(record, store, fleet, runners):
-    until = time.monotonic() + LENGTH_S
-    answers = []
-    work = [send_requests(fleet, client, service, until, answers)
-            for client in range(CLIENTS) for service in SERVICES]
-    if TROUBLE:
-        work.append(write_foreign_entries(record, store, runners[0]))
-    await asyncio.gather(*work)
-    by_status = {}
-    for _, status, _ in answers:
-        by_status[status] = by_status.get(status, 0) + 1
-    record(f"answers by status: {by_status}")
-    wrong = 0
+        most_running = max(most_running, max(r.running for r in runners))
+        await asyncio.sleep(0.02)
+    now = time.monotonic()
+    had = {entry["attempt"].split("-")[0] for runner in runners
+           for entry in runner.arrivals
+           if entry["at"] > now - CALM_S or not entry["done"]}
+    last_run = max((entry["at"] for runner in runners
+                    for entry in runner.arrivals), default=0)
+    record(f"in the last {CALM_S} s a runner ran at most {most_running} of 8; "
+           f"jobs with an item at a runner: {sorted(had) or 'none'}; the last "
+           f"item began {now - last_run:.1f} s ago")
+    lost = 0
+    for job in sound:
+        total, results = await read_all(fleet.nodes, job)
+        wrong = [r["id"] for r in results
+                 if r["state"] != "completed" or r["text"] != make_text(r["id"])]
+        record(f"read {job}: total {total}, listed {len(results)}, wrong {wrong}")
+        if total is None or wrong:
+            return NOT_RUN
+        if job not in had:
+            lost += total - len(results)
     for runner in runners:
-        strange = [entry["attempt"] for entry in runner.arrivals
-                   if not entry["target"].startswith(f"/{runner.service}/")]
-        wrong += len(strange)
-        record(f"{runner.name} of {runner.service} ran {len(runner.arrivals)} "
-               f"requests, {len(strange)} of them sent to another service's "
-               f"route: {strange[:5]}")
-    got = [answer for answer in answers if answer[1] == 200 and
-           not answer[0].startswith(answer[2][2:-2])]
-    record(f"{len(got)} clients got a 200 of a runner of another service: "
-           f"{got[:3]}")
-    if by_status.get(200, 0) < len(answers) / 2:
-        return NOT_RUN
-    record(f"ROUTE: {wrong} requests were run by a service that no "
-           "configuration names for them" if wrong else "ROUTE holds")
-    return BROKEN if wrong else HELD
+        record(f"{runner.name} ran {len(runner.arrivals)} requests, refused "
+               f"{len(runner.refusals)}")
+    broken = lost > 0 and most_running < 4 and now - last_run > QUIET_S
+    record(f"LOST: {lost} accepted items are listed neither as completed nor "
+           "as errored" if broken else "LOST holds")
+    return BROKEN if broken else HELD
 
 
 main(FOLDER, run)
