--- a/review/lib-2/store.py
+++ b/review/lib-2/store.py
@@ -35,6 +35,7 @@
         self.stored = 0
         self.blob_free_at = 0.0
         self.full_answers = 0
+        self.full_at = None
         self.answer_delay_s = 0.0   # of a slow store, after the work is done
         self.port = None
 
@@ -45,6 +46,10 @@
     def now_ms(self):
         return 1000 + int((time.monotonic() - self.started) * 1000)
 
+    def note_full(self):
+        self.full_answers += 1
+        self.full_at = self.full_at or time.monotonic()
+
     def write(self, name, value):
         """Changes a row within the transaction of `self.version`."""
         old = self.rows.pop(name, None)
@@ -125,7 +130,7 @@
                     if name_of(row) in self.rows]
             return self.answer(412, rows=rows)
         if values and self.stored >= MAX_STORED_BYTES:
-            self.full_answers += 1
+            self.note_full()
             return self.answer(507)
         self.version += 1
         for name, value in values.items():
@@ -211,7 +216,7 @@
             if len(request.body) > MAX_BLOB_BYTES:
                 return http11.make_response(413, {})
             if self.stored >= MAX_STORED_BYTES:
-                self.full_answers += 1
+                self.note_full()
                 return http11.make_response(507, {})
             self.stored += len(request.body) - len(self.blobs.get(name, b""))
             self.blobs[name] = request.body
