Runners: Tell a 421 for other weights from that of another runner

Callers saw requests refused by a node, and sound items never started, after one request or item had named weights that no runner has.

Cause: a runner answers 421 both when it is not the runner that the request names and when it has other weights than the request names. The node took each for the first, and gave the runner no work until its entry changed.

Evidence: attempt_failed with "the runner's address belongs to another runner" for a runner at its own address.

Change: the response's X-Instance-Id tells the two apart. A refusal for weights releases the slot as unsuitable: it does not blame the runner and charges no quota.

--- a/policy/serving/runner_slots.cpp
+++ b/policy/serving/runner_slots.cpp
@@ -215,6 +215,7 @@
         break;
     case slot_outcome::cancelled:
     case slot_outcome::unused:
+    case slot_outcome::unsuitable:
         break;
     }
 }
--- a/policy/serving/slot_messages.hpp
+++ b/policy/serving/slot_messages.hpp
@@ -174,9 +174,12 @@
     failed,
     /// The runner responded that it rejected the request or ran out of time.
     rejected,
+    /// The runner cannot run this request, for instance because it has other
+    /// weights, and did not run it. Says nothing about other requests.
+    unsuitable,
 };
 
-inline constexpr enum_table<slot_outcome, 9> slot_outcome_names = {{
+inline constexpr enum_table<slot_outcome, 10> slot_outcome_names = {{
     {slot_outcome::completed, "completed"},
     {slot_outcome::refused, "refused"},
     {slot_outcome::unreachable, "unreachable"},
@@ -186,6 +189,7 @@
     {slot_outcome::unused, "unused"},
     {slot_outcome::failed, "failed"},
     {slot_outcome::rejected, "rejected"},
+    {slot_outcome::unsuitable, "unsuitable"},
 }};
 
 /// Kind of a decision of the coordinator.
--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -413,6 +413,7 @@
         this->record_outcome(now, run->second, outcome);
         const bool has_run = outcome != slot_outcome::unused &&
                              outcome != slot_outcome::refused &&
+                             outcome != slot_outcome::unsuitable &&
                              outcome != slot_outcome::unreachable;
         if (!has_run && run->second.charged_at && this->quota != nullptr)
         {
--- a/servers/node/runner_caller.cpp
+++ b/servers/node/runner_caller.cpp
@@ -69,6 +69,9 @@
     // call.
     const serving::runner_entry target_runner = *entry;
     const net::endpoint target{target_runner.address, target_runner.port};
+    const platform::expected_runner expected = {
+        target_runner.id,
+        !platform::parse_expected_weights(request.headers).empty()};
     net::open_limits limits;
     limits.connect = connect_limit;
     limits.head = head_limit;
@@ -104,7 +107,7 @@
     }
     directory.on_reached(runner);
     this->record_leaving(target_runner, opened.stream->head());
-    switch (platform::classify_runner_response(opened.stream->head()))
+    switch (platform::classify_runner_response(opened.stream->head(), expected))
     {
     case platform::runner_response_kind::executed:
         outcome.load = platform::parse_runner_load(opened.stream->head());
@@ -116,6 +119,11 @@
         outcome.failure =
             "status " + std::to_string(opened.stream->head().status);
         break;
+    case platform::runner_response_kind::other_weights:
+        outcome.load = platform::parse_runner_load(opened.stream->head());
+        outcome.delivery = delivery_outcome::other_weights;
+        outcome.failure = "the runner has other weights";
+        break;
     case platform::runner_response_kind::wrong_runner:
         outcome.delivery = delivery_outcome::wrong_runner;
         outcome.failure = "the runner's address belongs to another runner";
@@ -173,6 +181,8 @@
     case delivery_outcome::wrong_runner:
     case delivery_outcome::leaving:
         return serving::slot_outcome::refused;
+    case delivery_outcome::other_weights:
+        return serving::slot_outcome::unsuitable;
     case delivery_outcome::unknown:
         break;
     }
--- a/servers/node/runner_caller.hpp
+++ b/servers/node/runner_caller.hpp
@@ -27,6 +27,8 @@
     /// The runner is not registered, or another runner has its address; the
     /// request was not run.
     wrong_runner,
+    /// The runner has other weights than the request names; it was not run.
+    other_weights,
     /// The request was not sent because the runner is leaving.
     leaving,
     /// The request was sent and no response came; it may have run.
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -296,14 +296,52 @@
 
 TEST(call_headers_test, only_the_not_executed_header_means_not_run)
 {
+    const expected_runner expected = {"i-1", false};
     net::http_response head;
     head.status = 503;
-    EXPECT_EQ(classify_runner_response(head), runner_response_kind::executed);
+    EXPECT_EQ(
+        classify_runner_response(head, expected),
+        runner_response_kind::executed);
     head.headers["x-not-executed"] = "1";
-    EXPECT_EQ(classify_runner_response(head), runner_response_kind::not_run);
+    EXPECT_EQ(
+        classify_runner_response(head, expected),
+        runner_response_kind::not_run);
     head.status = 421;
     EXPECT_EQ(
-        classify_runner_response(head), runner_response_kind::wrong_runner);
+        classify_runner_response(head, expected),
+        runner_response_kind::wrong_runner);
+}
+
+// Guards against a refusal for other weights that is taken for the response of
+// another runner: both have status 421.
+TEST(call_headers_test, status_421_of_the_expected_runner_is_about_weights)
+{
+    struct response_case
+    {
+        std::string responder;
+        bool names_weights = false;
+        runner_response_kind kind = runner_response_kind::executed;
+    };
+    const std::vector<response_case> cases = {
+        {"", false, runner_response_kind::wrong_runner},
+        {"", true, runner_response_kind::other_weights},
+        {"i-1", false, runner_response_kind::not_run},
+        {"i-1", true, runner_response_kind::other_weights},
+        {"i-2", false, runner_response_kind::wrong_runner},
+        {"i-2", true, runner_response_kind::wrong_runner}};
+    for (const response_case& played : cases)
+    {
+        net::http_response head;
+        head.status = 421;
+        if (!played.responder.empty())
+        {
+            head.headers["x-instance-id"] = played.responder;
+        }
+        EXPECT_EQ(
+            classify_runner_response(head, {"i-1", played.names_weights}),
+            played.kind)
+            << played.responder << " " << played.names_weights;
+    }
 }
 
 TEST(entry_document_test, parses_the_query_and_makes_the_response)
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -72,6 +72,20 @@
     return text;
 }
 
+/// Returns a configuration in which the memory of each runner of the service
+/// holds `tokens` tokens, and any number of items may wait.
+std::string make_memory_configuration(int version, std::int64_t tokens)
+{
+    std::string text = make_configuration(version);
+    const std::string limit = R"("max_count":5000)";
+    text.replace(text.find(limit), limit.size(), R"("max_count":0)");
+    const std::string engine = R"("engine":{"slots":8)";
+    text.insert(
+        text.find(engine) + engine.size(),
+        R"(,"kv_capacity":)" + std::to_string(tokens));
+    return text;
+}
+
 class node_process_test : public ::testing::Test
 {
 protected:
@@ -272,6 +286,70 @@
             .status;
     }
 
+    /// Starts with one runner. `tokens` is the memory of a runner by the
+    /// configuration.
+    void start_with_memory(std::int64_t tokens)
+    {
+        this->store.put(
+            "op", "", "config", make_memory_configuration(1, tokens));
+        this->register_runner(this->first, "ready");
+        this->start();
+        this->wait_until(
+            [this]
+            {
+                return this->get(this->settings.readiness, "/-/readyz")
+                           .status == 200;
+            });
+    }
+
+    /// Submits a job of items that differ in size. `headers` is added to the
+    /// headers of each item. Returns the status of the response.
+    int submit_items(
+        const std::string& id,
+        const std::vector<std::int64_t>& tokens,
+        const std::string& headers = "")
+    {
+        std::string items;
+        for (std::size_t at = 0; at < tokens.size(); ++at)
+        {
+            items += (at == 0 ? "" : ",") + std::string(R"({"id":")") + id +
+                     "-" + std::to_string(at) +
+                     R"(","path":"/jobs/x","headers":{"X-Model":"m",)" +
+                     R"("X-Token-Counts":")" + std::to_string(tokens[at] - 10) +
+                     R"(,10")" + headers + R"(},"body":"aGk=","tokens":)" +
+                     std::to_string(tokens[at]) + "}";
+        }
+        return this
+            ->post_request("/jobs/x", id, R"({"requests":[)" + items + "]}")
+            .status;
+    }
+
+    /// Submits twice as many items that no runner can run as may wait for
+    /// slots, and a moment later sound ones, which must complete.
+    void expect_sound_items_complete_beside(
+        std::int64_t tokens, const std::string& headers = "")
+    {
+        const std::vector<std::int64_t> others(12, tokens);
+        ASSERT_EQ(this->submit_items("bad-1", others, headers), 202);
+        ASSERT_EQ(this->submit_items("bad-2", others, headers), 202);
+        this->io.run_for(300ms);
+        ASSERT_EQ(
+            this->submit_items("sound", std::vector<std::int64_t>(10, 100)),
+            202);
+        this->wait_for_results("sound", 10);
+        this->expect_in_results("sound", "state", "completed");
+        EXPECT_EQ(this->read_results("bad-1").at("next").as_int64(), 0);
+    }
+
+    void expect_both_other_jobs_complete()
+    {
+        for (const char* id : {"bad-1", "bad-2"})
+        {
+            this->wait_for_results(id, 12);
+            this->expect_in_results(id, "state", "completed");
+        }
+    }
+
     /// Starts with two batch routes: one to the service of `first`, which is
     /// not registered here, and one to the service of `second`.
     void start_with_two_batch_services()
@@ -1508,6 +1586,25 @@
     this->expect_jobs_of_the_other_service_complete();
 }
 
+// Guards against a status 421 for weights that is taken for the answer of
+// another runner: one such request takes the runner away from all callers.
+TEST_F(
+    node_process_test, a_request_for_missing_weights_leaves_the_runner_in_use)
+{
+    this->start_with_memory(2000);
+    net::http_request request;
+    request.method = "POST";
+    request.target = "/ask/1";
+    request.headers = {
+        {"host", "a.example"},
+        {"x-attempt-id", "t1"},
+        {"x-deadline-ms", "5000"},
+        {"x-expect-version", "9"}};
+    EXPECT_EQ(
+        this->send(this->settings.requests, std::move(request)).status, 503);
+    EXPECT_EQ(this->post_request("/ask/2", "t2", "").status, 200);
+}
+
 TEST_F(node_process_test, runs_a_job_and_stores_its_results)
 {
     this->start_serving();
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -65,7 +65,28 @@
     return R"({"service":")" + this->service + R"(","addr":"127.0.0.1:)" +
            std::to_string(this->server.port()) +
            R"(","zone":"z1","slots":8,"state":")" + state + R"(","born":)" +
-           std::to_string(this->started_ms) + R"(,"seq":1})";
+           std::to_string(this->started_ms) +
+           R"(,"models":[{"name":"m","version":)" +
+           std::to_string(this->weights) + R"(}],"seq":1})";
+}
+
+int engine_standin::find_unsuitable_status(
+    const net::http_headers& headers) const
+{
+    const std::string version = get_header(headers, "x-expect-version");
+    if (!version.empty() && version != std::to_string(this->weights))
+    {
+        return 421;
+    }
+    const std::string counts = get_header(headers, "x-token-counts");
+    const std::size_t comma = counts.find(',');
+    if (this->token_capacity == 0 || comma == std::string::npos)
+    {
+        return 0;
+    }
+    const std::int64_t tokens =
+        std::stoll(counts) + std::stoll(counts.substr(comma + 1));
+    return tokens > this->token_capacity ? 503 : 0;
 }
 
 void engine_standin::restart_later()
@@ -105,6 +126,17 @@
         co_await exchange.respond(std::move(refusal));
         co_return;
     }
+    if (const int unsuitable_status = this->find_unsuitable_status(headers);
+        unsuitable_status != 0)
+    {
+        ++this->unsuitable;
+        refusal.status = unsuitable_status;
+        refusal.headers["x-not-executed"] = "1";
+        refusal.headers["x-instance-id"] = this->instance;
+        refusal.headers["x-instance-load"] = "0,0,8";
+        co_await exchange.respond(std::move(refusal));
+        co_return;
+    }
     engine_arrival arrival;
     arrival.attempt = get_header(headers, "x-attempt-id");
     arrival.target = exchange.head().target;
--- a/tests/standins/engine_standin.hpp
+++ b/tests/standins/engine_standin.hpp
@@ -77,6 +77,14 @@
     /// If true, a response with `status` states that the request was not
     /// executed.
     bool states_not_run = false;
+    /// Tokens that the memory holds. A request with more of them in its header
+    /// `X-Token-Counts` is refused as by a full runner; zero disables this.
+    std::int64_t token_capacity = 0;
+    /// Version of the weights. A request that names another one in its header
+    /// `X-Expect-Version` is refused with status 421.
+    std::int64_t weights = 1;
+    /// Number of requests that were refused for one of these two reasons.
+    std::size_t unsuitable = 0;
     /// If true, every response states that the runner is leaving.
     bool reports_leaving = false;
     /// Start time of the process that the entry reports, in milliseconds.
@@ -84,6 +92,9 @@
 
 private:
     boost::asio::awaitable<void> handle_request(net::http_exchange& exchange);
+    /// Returns the status with which a request is refused that this runner
+    /// cannot run; zero if it can.
+    int find_unsuitable_status(const net::http_headers& headers) const;
     boost::asio::awaitable<void>
     stream(net::http_exchange& exchange, std::size_t index);
     void restart_later();
