Items: Hold those that no runner can run outside the places that wait

Cause: an item held one of the 12 places of its service on its node from its start until a run began. One that no runner can run waits until its retention ends, so that 12 of them stopped all others, and each refusal took a runner out of use for 400 ms.

Evidence: no item_placed and no request at a runner after the job_accepted of the large items. Logs could not tell waiting for a slot from waiting for ever; item_held, held_items_changed and three gauges do.

Change: policy/serving/item_holds holds such items by reason and releases them by events: a configuration, a changed runner, a trial that succeeds. Items that may prove impossible have four places of their own. A job keeps the numbers of the items to start, so that a tick looks at no held item. A runner is blamed for the first refusal of an item only.

--- a/core/event.cpp
+++ b/core/event.cpp
@@ -80,6 +80,8 @@
         {job_taken_over, "job_taken_over", info, "This VM runs a job whose VM has failed."},
         {job_record_rejected, "job_record_rejected", error, "The record of a job in the store cannot be read."},
         {job_handed_over, "job_handed_over", info, "This VM is leaving and handed a job over to another VM."},
+        {item_held, "item_held", info, "No runner can run a batch item at present; it is still owed."},
+        {held_items_changed, "held_items_changed", info, "The number of batch items of a service that no runner can run has changed."},
 
         {vm_alive, "vm_alive", info, "A VM is alive."},
         {vm_suspect, "vm_suspect", warning, "A VM does not respond and is suspected."},
--- a/core/event.hpp
+++ b/core/event.hpp
@@ -68,6 +68,8 @@
     job_taken_over = 312,
     job_record_rejected = 313,
     job_handed_over = 314,
+    item_held = 315,
+    held_items_changed = 316,
 
     // 400: membership.
     vm_alive = 400,
--- a/policy/serving/item_admission.cpp
+++ b/policy/serving/item_admission.cpp
@@ -8,21 +8,32 @@
 {
 }
 
-bool item_admission::may_start(const std::string& service) const
+bool item_admission::may_start(const std::string& service, bool uncertain) const
 {
     const auto found = this->waiting.find(service);
     if (found == this->waiting.end())
     {
         return true;
     }
-    return found->second < this->settings.per_service &&
-           this->total < this->settings.total;
+    const bool has_place =
+        uncertain
+            ? found->second.uncertain < this->settings.uncertain_per_service
+            : found->second.regular < this->settings.per_service;
+    return has_place && this->total < this->settings.total;
 }
 
-void item_admission::add(const std::string& service)
+void item_admission::add(const std::string& service, bool uncertain)
 {
-    ++this->waiting[service];
+    waiting_items& items = this->waiting[service];
+    ++(uncertain ? items.uncertain : items.regular);
     ++this->total;
 }
 
+bool item_admission::has_too_many_uncertain(const std::string& service) const
+{
+    const auto found = this->waiting.find(service);
+    return found != this->waiting.end() &&
+           found->second.uncertain > this->settings.uncertain_per_service;
+}
+
 } // namespace chicory::serving
--- a/policy/serving/runner_directory.cpp
+++ b/policy/serving/runner_directory.cpp
@@ -313,6 +313,23 @@
     return counts;
 }
 
+std::map<std::string, std::uint64_t> runner_directory::digests() const
+{
+    std::map<std::string, std::uint64_t> found;
+    for (const auto& [id, known] : this->runners)
+    {
+        if (this->may_send(id))
+        {
+            std::uint64_t& digest = found[known.entry.service];
+            digest = hash_bytes(
+                id,
+                digest + known.entry.models_digest +
+                    static_cast<std::uint64_t>(known.entry.started_ms));
+        }
+    }
+    return found;
+}
+
 std::uint64_t runner_directory::version() const
 {
     return this->changes;
--- a/policy/serving/runner_directory.hpp
+++ b/policy/serving/runner_directory.hpp
@@ -32,6 +32,8 @@
     std::string zone;
     std::int64_t slots = 1;
     runner_state state = runner_state::ready;
+    /// Digest of the models that the runner has; zero if it states none.
+    std::uint64_t models_digest = 0;
     /// Start of this process of the runner, in milliseconds since 1970.
     std::int64_t started_ms = 0;
     /// Version of the entry in the store.
@@ -121,6 +123,10 @@
     /// Removes expired entries that were not registered again in time.
     void on_tick(time_point now);
 
+    /// Returns, by service, a digest of the processes of the runners that may
+    /// get work and of their models. It changes when one of these does.
+    std::map<std::string, std::uint64_t> digests() const;
+
     /// Returns whether a runner may get new work.
     bool is_usable(time_point now, const std::string& id) const;
 
--- a/policy/serving/serving.hpp
+++ b/policy/serving/serving.hpp
@@ -12,6 +12,7 @@
 #include "policy/serving/event_splitter.hpp"
 #include "policy/serving/group_overflow.hpp"
 #include "policy/serving/item_admission.hpp"
+#include "policy/serving/item_holds.hpp"
 #include "policy/serving/item_piece.hpp"
 #include "policy/serving/item_plan.hpp"
 #include "policy/serving/item_progress.hpp"
--- a/policy/serving/slot_messages.hpp
+++ b/policy/serving/slot_messages.hpp
@@ -53,6 +53,13 @@
     bool operator==(const runner_load&) const = default;
 };
 
+/// Returns whether a runner with this load has no idle slot. False if it stated
+/// no load.
+inline bool is_full(const runner_load& load)
+{
+    return load.slots > 0 && (load.running >= load.slots || load.waiting > 0);
+}
+
 /// A load with the time since the node received it.
 struct load_sample
 {
--- a/servers/control_client/log_explanation.cpp
+++ b/servers/control_client/log_explanation.cpp
@@ -227,6 +227,38 @@
         }));
 }
 
+/// Returns why no run of an item began after its last line, and what would end
+/// that; empty if the last line does not say that the item is held.
+std::string describe_hold(const std::vector<log_line>& found)
+{
+    constexpr std::array<std::pair<std::string_view, std::string_view>, 3>
+        causes = {{
+            {"exceeds_memory",
+             "larger than the memory of every runner by the configuration; it "
+             "runs once kv_capacity of its service is at least its tokens"},
+            {"other_weights",
+             "no runner that was tried has the weights that it names; it runs "
+             "once a runner of its service has them"},
+            {"refused",
+             "the runners that were tried refused it while they had idle "
+             "slots, mostly because their memory is too small; it is tried "
+             "again, and at once when a runner is added or restarted"},
+        }};
+    if (found.back().event != "item_held")
+    {
+        return "";
+    }
+    const std::string reason = find_field(found.back(), "reason");
+    for (const auto& [name, text] : causes)
+    {
+        if (name == reason)
+        {
+            return "Held: " + std::string(text) + "\n";
+        }
+    }
+    return "Held: " + reason + "\n";
+}
+
 } // namespace
 
 result<log_line> parse_log_line(std::string_view text)
@@ -339,6 +371,7 @@
     report.text += final_line == nullptr ? "Ended: no line shows how\n"
                                          : "Ended by " + final_line->event +
                                                " at " + final_line->vm + "\n";
+    report.text += describe_hold(found);
     if (const std::size_t gaps = count_gaps(logs.lines, found); gaps > 0)
     {
         report.text += "Lines may be missing: " + std::to_string(gaps) +
--- a/servers/node/item_execution.cpp
+++ b/servers/node/item_execution.cpp
@@ -36,6 +36,8 @@
 constexpr std::chrono::milliseconds no_route_pause(200);
 /// Number of runners that an item avoids: the latest that failed it.
 constexpr std::size_t max_avoided_runners = 2;
+/// Number of runners that it avoids when they refuse it without being full.
+constexpr std::size_t max_unsuitable_runners = 16;
 
 } // namespace
 
@@ -48,11 +50,18 @@
     std::string initial_organisation,
     std::string initial_service,
     time_point initial_accepted_at,
-    const std::vector<serving::item_piece>& saved)
+    const std::vector<serving::item_piece>& saved,
+    serving::item_holds& shared_holds,
+    serving::item_key initial_key,
+    place_hook may_wait)
     : context(io), services(shared_services), item(initial_item),
       job(std::move(initial_job)), route(std::move(route_name)),
-      organisation(std::move(initial_organisation)),
-      used_service(std::move(initial_service)),
+      organisation(std::move(initial_organisation)), holds(shared_holds),
+      key(std::move(initial_key)), may_wait_refused(std::move(may_wait)),
+      needed{
+          std::move(initial_service),
+          platform::parse_expected_weights(initial_item.headers),
+          initial_item.tokens},
       accepted_at(initial_accepted_at),
       output_tokens(platform::parse_caller_parameters(initial_item.headers)
                         .max_output_tokens)
@@ -95,12 +104,33 @@
 
 bool item_execution::is_waiting() const
 {
-    return !this->has_slot;
+    return !this->has_slot && !this->is_held;
 }
 
-const std::string& item_execution::service() const
+void item_execution::begin_trial(const serving::item_requirement& held)
 {
-    return this->used_service;
+    this->trial = held;
+    this->needed = held;
+}
+
+bool item_execution::was_on_trial() const
+{
+    return this->held_after_trial;
+}
+
+serving::hold_reason item_execution::held_for() const
+{
+    return this->hold_cause;
+}
+
+bool item_execution::is_uncertain() const
+{
+    return this->is_held || this->trial || this->refusals > 0;
+}
+
+const serving::item_requirement& item_execution::requirement() const
+{
+    return this->needed;
 }
 
 const serving::item_progress& item_execution::progress() const
@@ -144,6 +174,7 @@
 
 asio::awaitable<item_outcome> item_execution::execute()
 {
+    this->is_held = false;
     while (!this->stopped)
     {
         const step next = co_await this->run_once();
@@ -155,6 +186,11 @@
             co_return item_outcome::failed;
         case step::impossible:
             co_return item_outcome::impossible;
+        case step::held:
+            this->is_held = true;
+            this->held_after_trial = this->trial.has_value();
+            this->trial.reset();
+            co_return item_outcome::held;
         case step::retry:
             break;
         }
@@ -174,8 +210,7 @@
     const std::uint64_t draw = hash_bytes(this->item.id);
     slot_requirements requirements;
     requirements.kind = serving::work_kind::batch;
-    requirements.service = serving::choose_service(current, draw);
-    this->used_service = requirements.service;
+    requirements.service = this->needed.service;
     requirements.target_deadline =
         this->accepted_at + current.completion_target;
     requirements.deadline = this->accepted_at + current.retention;
@@ -188,7 +223,10 @@
     requirements.still_hold = [this, current, draw]
     {
         return serving::may_keep_waiting(
-            current, this->services.fleet.find_route(this->route).get(), draw);
+                   current,
+                   this->services.fleet.find_route(this->route).get(),
+                   draw) &&
+               !this->holds.find_reason(this->needed, this->trial.has_value());
     };
     return requirements;
 }
@@ -203,6 +241,42 @@
     return this->organisation;
 }
 
+void item_execution::update_requirement(const serving::serving_route& current)
+{
+    this->needed.service =
+        serving::choose_service(current, hash_bytes(this->item.id));
+    if (this->trial && *this->trial != this->needed)
+    {
+        this->holds.remove(read_monotonic_clock(), *this->trial, this->key);
+        this->trial.reset();
+    }
+}
+
+serving::slot_outcome
+item_execution::find_slot_outcome(const runner_outcome& outcome) const
+{
+    if (this->stopped || this->preempted)
+    {
+        return serving::slot_outcome::cancelled;
+    }
+    // The runner is blamed only for the item's first refusal: an item that
+    // other runners refused too is no evidence against this one.
+    const bool is_blameless =
+        outcome.unsuitable &&
+        (this->is_uncertain() || this->holds.is_uncertain(this->needed));
+    return is_blameless ? serving::slot_outcome::unsuitable
+                        : to_slot_outcome(outcome);
+}
+
+bool item_execution::record_refusal(const runner_outcome& outcome)
+{
+    ++this->refusals;
+    this->hold_cause = *outcome.unsuitable;
+    return this->holds.on_refused(
+               this->needed, this->key, *outcome.unsuitable, this->refusals) ||
+           !this->may_wait_refused(this->needed.service);
+}
+
 asio::awaitable<item_execution::step> item_execution::run_once()
 {
     const std::shared_ptr<const serving::serving_route> found_route =
@@ -212,6 +286,13 @@
         co_await this->pause(no_route_pause);
         co_return step::retry;
     }
+    this->update_requirement(*found_route);
+    if (const std::optional<serving::hold_reason> reason =
+            this->holds.find_reason(this->needed, this->trial.has_value()))
+    {
+        this->hold_cause = *reason;
+        co_return step::held;
+    }
     slot_requirements requirements = this->make_slot_requirements(*found_route);
     const time_point target_deadline = requirements.target_deadline;
     const std::string host = found_route->host;
@@ -266,24 +347,31 @@
     if (outcome.delivery != delivery_outcome::responding)
     {
         const bool ended_locally = this->stopped || this->preempted;
-        this->services.slots.release(
-            slot.id,
-            ended_locally ? serving::slot_outcome::cancelled
-                          : to_slot_outcome(outcome));
+        this->services.slots.release(slot.id, this->find_slot_outcome(outcome));
         if (!ended_locally)
         {
-            this->avoid_runner(slot.runner);
+            this->avoid_runner(
+                slot.runner,
+                outcome.unsuitable ? max_unsuitable_runners
+                                   : max_avoided_runners);
             log_event(
                 event::item_interrupted,
                 {{"job", this->job},
                  {"item", this->item.id},
                  {"runner", slot.runner},
                  {"error", outcome.failure}});
+            if (outcome.unsuitable && this->record_refusal(outcome))
+            {
+                co_return step::held;
+            }
             this->fruitless_runs += outcome.closed ? 1 : 0;
             co_await this->pause_before_retry();
         }
         co_return step::retry;
     }
+    this->refusals = 0;
+    this->trial.reset();
+    this->holds.on_accepted(this->needed, this->key);
     this->has_slot = true;
     this->run_started = started;
     const step next =
@@ -337,16 +425,17 @@
          {"runner", slot.runner},
          {"error",
           "expected a stream, found status " + std::to_string(status)}});
-    this->avoid_runner(slot.runner);
+    this->avoid_runner(slot.runner, max_avoided_runners);
     ++this->fruitless_runs;
     co_await this->pause_before_retry();
     co_return step::retry;
 }
 
-void item_execution::avoid_runner(const std::string& runner)
+void item_execution::avoid_runner(
+    const std::string& runner, std::size_t max_avoided)
 {
     this->avoided_runners.push_back(runner);
-    if (this->avoided_runners.size() > max_avoided_runners)
+    while (this->avoided_runners.size() > max_avoided)
     {
         this->avoided_runners.erase(this->avoided_runners.begin());
     }
--- a/servers/node/item_execution.hpp
+++ b/servers/node/item_execution.hpp
@@ -28,6 +28,8 @@
     impossible,
     /// The execution was stopped by its owner.
     stopped,
+    /// No runner can run the item at present; `held_for` says why.
+    held,
 };
 
 /// Executes one item over all its runs: gets a slot, sends the item, and
@@ -36,6 +38,11 @@
 class item_execution
 {
 public:
+    /// Returns whether one more item of a service that runners refused may wait
+    /// for a slot.
+    using place_hook = std::function<bool(const std::string& service)>;
+
+    /// `shared_holds` must outlive the execution.
     item_execution(
         boost::asio::io_context& io,
         run_services shared_services,
@@ -45,21 +52,37 @@
         std::string initial_organisation,
         std::string initial_service,
         time_point initial_accepted_at,
-        const std::vector<serving::item_piece>& saved);
+        const std::vector<serving::item_piece>& saved,
+        serving::item_holds& shared_holds,
+        serving::item_key initial_key,
+        place_hook may_wait);
 
     /// Executes the item until it has one of the outcomes of `item_outcome`.
-    /// May be called again after `failed`.
+    /// May be called again after `failed` and `held`.
     boost::asio::awaitable<item_outcome> execute();
 
+    /// Makes the next run a trial of an item that was held.
+    void begin_trial(const serving::item_requirement& held);
+
+    /// Returns why the last call of `execute` returned `held`.
+    serving::hold_reason held_for() const;
+
+    /// Returns whether that call was a trial.
+    bool was_on_trial() const;
+
+    /// Returns whether the item is held or on trial, or was refused by a runner
+    /// since its last run.
+    bool is_uncertain() const;
+
+    /// Returns what the item needs of a runner.
+    const serving::item_requirement& requirement() const;
+
     /// Stops the execution. `execute` returns `stopped` shortly afterwards.
     void stop();
 
-    /// Returns whether the item does not hold a slot.
+    /// Returns whether the item waits for a slot.
     bool is_waiting() const;
 
-    /// Returns the service whose slot the item holds or waits for.
-    const std::string& service() const;
-
     const serving::item_progress& progress() const;
 
     /// Returns the events that are not saved yet, or nothing when all are
@@ -76,6 +99,7 @@
         completed,
         failed,
         impossible,
+        held,
     };
 
     void preempt();
@@ -86,6 +110,13 @@
     /// Returns the name that runners are told, or nothing if their headers are
     /// not concerned with organisations.
     std::optional<std::string> find_shown_organisation() const;
+    /// Updates `needed` from the current route. Ends a trial of other needs.
+    void update_requirement(const serving::serving_route& current);
+    /// Returns the outcome of the use of a slot whose run did not begin.
+    serving::slot_outcome
+    find_slot_outcome(const runner_outcome& outcome) const;
+    /// Records that a runner refused the item. Returns whether it is held now.
+    bool record_refusal(const runner_outcome& outcome);
     boost::asio::awaitable<step> run_once();
     boost::asio::awaitable<step> handle_response(
         const slot_result& slot, std::unique_ptr<net::http_stream> response);
@@ -95,7 +126,7 @@
     boost::asio::awaitable<void> pause(duration length);
     boost::asio::awaitable<void> pause_before_retry();
     /// Excludes a runner from the next runs of the item.
-    void avoid_runner(const std::string& runner);
+    void avoid_runner(const std::string& runner, std::size_t max_avoided);
 
     boost::asio::io_context& context;
     run_services services;
@@ -104,7 +135,17 @@
     std::string route;
     /// Organisation of the job; empty if it has none.
     std::string organisation;
-    std::string used_service;
+    serving::item_holds& holds;
+    serving::item_key key;
+    place_hook may_wait_refused;
+    serving::item_requirement needed;
+    /// What the item needed when it was held, if it is on trial.
+    std::optional<serving::item_requirement> trial;
+    /// Consecutive refusals by runners that were not full.
+    int refusals = 0;
+    bool is_held = false;
+    bool held_after_trial = false;
+    serving::hold_reason hold_cause = serving::hold_reason::refused;
     /// Time at which the item's job was accepted.
     time_point accepted_at;
     std::int64_t output_tokens;
--- a/servers/node/job_runner.cpp
+++ b/servers/node/job_runner.cpp
@@ -22,6 +22,8 @@
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds tick_interval(150);
 constexpr std::chrono::milliseconds failure_pause(150);
+/// Minimum time between two log lines about held items.
+constexpr std::chrono::seconds hold_report_interval(1);
 /// A job with less time left counts as late when items are chosen.
 constexpr std::chrono::seconds min_item_time(2);
 
@@ -164,7 +166,10 @@
         this->stop(*entry->second);
         entry = this->active.erase(entry);
     }
+    this->update_holds(now);
+    this->release_items(now);
     this->start_items();
+    this->report_holds(now);
 }
 
 void job_runner::load_if_inactive(const serving::job_record& job)
@@ -184,6 +189,12 @@
     for (const auto& [item, execution] : job.executions)
     {
         execution->stop();
+        this->holds.remove(
+            read_monotonic_clock(), execution->requirement(), {job.id, item});
+    }
+    while (!job.held.empty())
+    {
+        this->forget_hold(job, job.held.begin()->first);
     }
 }
 
@@ -262,6 +273,14 @@
     job->items = std::move(items);
     job->failures = record->failures;
     job->saved = std::move(saved);
+    for (const std::int64_t item : serving::unlisted_items(*record))
+    {
+        job->unstarted.insert(item);
+    }
+    if (const auto route = this->find_route(record))
+    {
+        job->services = route->services;
+    }
     job->next_save = read_monotonic_clock() + duration(save_interval);
     this->active[id] = job;
     this->schedule_reconcile();
@@ -290,6 +309,14 @@
         {
             execution->second->stop();
         }
+        if (job.held.contains(item))
+        {
+            this->forget_hold(job, item);
+            // An item that was held has no run that would remove it.
+            job.executions.erase(item);
+        }
+        job.unstarted.erase(item);
+        job.uncertain.erase(item);
         if (!this->is_finished(job, item))
         {
             job.finished.push_back(
@@ -314,7 +341,12 @@
         {
             if (execution->is_waiting())
             {
-                admission.add(execution->service());
+                const serving::item_requirement& needed =
+                    execution->requirement();
+                admission.add(
+                    needed.service,
+                    execution->is_uncertain() ||
+                        this->holds.is_uncertain(needed));
             }
         }
     }
@@ -332,102 +364,317 @@
         });
 }
 
-/// Starts items in the order of their jobs' due times. Items that can complete
-/// in time come before the late ones.
-void job_runner::start_items()
+serving::item_requirement job_runner::make_requirement(
+    const active_job& job,
+    std::int64_t item,
+    const serving::serving_route& route) const
+{
+    const platform::job_item& found =
+        job.items.at(static_cast<std::size_t>(item));
+    return {
+        serving::choose_service(route, hash_bytes(found.id)),
+        platform::parse_expected_weights(found.headers),
+        found.tokens};
+}
+
+void job_runner::hold_item(
+    active_job& job,
+    std::int64_t item,
+    const serving::item_requirement& needed,
+    serving::hold_reason reason,
+    bool is_new)
 {
-    struct candidate
+    this->holds.hold(read_monotonic_clock(), needed, {job.id, item}, reason);
+    job.held[item] = needed;
+    job.trials.erase(item);
+    if (is_new)
     {
-        bool late = false;
-        duration time_left = duration::zero();
-        std::shared_ptr<active_job> job;
-        const serving::job_record* record = nullptr;
-        std::shared_ptr<const serving::serving_route> route;
-    };
-    std::vector<candidate> jobs;
+        log_event(
+            event::item_held,
+            {{"job", job.id},
+             {"item", job.items.at(static_cast<std::size_t>(item)).id},
+             {"service", needed.service},
+             {"reason",
+              std::string(find_name(serving::hold_reason_names, reason))},
+             {"tokens", needed.tokens},
+             {"weights", needed.weights}});
+    }
+}
+
+void job_runner::forget_hold(active_job& job, std::int64_t item)
+{
+    const auto found = job.held.find(item);
+    if (found != job.held.end())
+    {
+        this->holds.remove(
+            read_monotonic_clock(), found->second, {job.id, item});
+        job.held.erase(found);
+        job.trials.erase(item);
+    }
+}
+
+void job_runner::release_items(time_point now)
+{
+    for (const serving::item_holds::released_item& released :
+         this->holds.release(now))
+    {
+        const auto found = this->active.find(released.key.job);
+        if (found == this->active.end() ||
+            !found->second->held.contains(released.key.item))
+        {
+            continue;
+        }
+        active_job& job = *found->second;
+        if (released.is_trial)
+        {
+            job.trials.insert(released.key.item);
+            job.uncertain.insert(released.key.item);
+            continue;
+        }
+        job.held.erase(released.key.item);
+        job.unstarted.insert(released.key.item);
+    }
+}
+
+void job_runner::update_holds(time_point now)
+{
+    const auto configuration = this->services.fleet.configuration();
+    if (configuration == nullptr)
+    {
+        return;
+    }
+    if (configuration->version != this->seen_configuration)
+    {
+        this->seen_configuration = configuration->version;
+        this->holds.set_capacities(configuration->service_tokens);
+        this->examine_moved_items();
+    }
+    const serving::runner_directory& runners = this->services.fleet.runners();
+    if (this->holds.empty() || runners.version() == this->seen_runners_version)
+    {
+        return;
+    }
+    this->seen_runners_version = runners.version();
+    for (const auto& [service, digest] : runners.digests())
+    {
+        const auto [seen, added] =
+            this->seen_runners.try_emplace(service, digest);
+        if (!added && std::exchange(seen->second, digest) != digest)
+        {
+            this->holds.on_runners_changed(now, service);
+        }
+    }
+}
+
+void job_runner::examine_moved_items()
+{
+    for (const auto& [id, job] : this->active)
+    {
+        const auto route = this->find_route(this->store.find(id));
+        if (route == nullptr || job->services == route->services)
+        {
+            continue;
+        }
+        job->services = route->services;
+        while (!job->held.empty())
+        {
+            const std::int64_t item = job->held.begin()->first;
+            this->forget_hold(*job, item);
+            job->unstarted.insert(item);
+        }
+        job->unstarted.merge(std::exchange(job->uncertain, {}));
+    }
+}
+
+void job_runner::report_holds(time_point now)
+{
+    if (now < this->next_hold_report)
+    {
+        return;
+    }
+    this->next_hold_report = now + duration(hold_report_interval);
+    std::map<std::string, serving::hold_counts> counts = this->holds.count();
+    serving::hold_counts all;
+    std::set<std::string> names;
+    for (const auto& [service, found] : counts)
+    {
+        all.exceeds_memory += found.exceeds_memory;
+        all.other_weights += found.other_weights;
+        all.refused += found.refused;
+        names.insert(service);
+    }
+    for (const auto& [service, found] : this->reported_holds)
+    {
+        names.insert(service);
+    }
+    for (const std::string& service : names)
+    {
+        const serving::hold_counts found = counts[service];
+        if (found != this->reported_holds[service])
+        {
+            log_event(
+                event::held_items_changed,
+                {{"service", service},
+                 {"exceeds_memory",
+                  static_cast<std::int64_t>(found.exceeds_memory)},
+                 {"other_weights",
+                  static_cast<std::int64_t>(found.other_weights)},
+                 {"refused", static_cast<std::int64_t>(found.refused)}});
+        }
+        if (found == serving::hold_counts())
+        {
+            counts.erase(service);
+        }
+    }
+    this->reported_holds = std::move(counts);
+    metrics& counters = this->services.counters;
+    counters.set(
+        "held_items_exceeding_memory",
+        static_cast<std::int64_t>(all.exceeds_memory));
+    counters.set(
+        "held_items_for_other_weights",
+        static_cast<std::int64_t>(all.other_weights));
+    counters.set("held_items_refused", static_cast<std::int64_t>(all.refused));
+}
+
+std::vector<job_runner::startable_job> job_runner::find_startable_jobs() const
+{
+    std::vector<startable_job> jobs;
     for (const auto& [id, job] : this->active)
     {
+        if (job->unstarted.empty() && job->uncertain.empty())
+        {
+            continue;
+        }
         const serving::job_record* record = this->store.find(id);
-        const auto route = this->find_route(record);
-        if (route != nullptr)
+        if (const auto route = this->find_route(record))
         {
             const duration time_left =
                 route->completion_target - this->store.age_of(*record);
-            jobs.push_back(
-                {time_left < min_item_time, time_left, job, record, route});
+            jobs.push_back({time_left < min_item_time, time_left, job, route});
         }
     }
     std::stable_sort(
         jobs.begin(),
         jobs.end(),
-        [](const candidate& first, const candidate& second)
+        [](const startable_job& first, const startable_job& second)
         {
             return std::tie(first.late, first.time_left) <
                    std::tie(second.late, second.time_left);
         });
+    return jobs;
+}
+
+/// Starts items in the order of their jobs' due times. Items that can complete
+/// in time come before the late ones.
+void job_runner::start_items()
+{
+    const std::vector<startable_job> jobs = this->find_startable_jobs();
+    if (jobs.empty())
+    {
+        return;
+    }
     serving::item_admission admission = this->count_waiting();
-    for (const candidate& next : jobs)
-    {
-        const auto may_start_any = [&]
-        {
-            return std::any_of(
-                next.route->services.begin(),
-                next.route->services.end(),
-                [&admission](const serving::service_share& share)
-                {
-                    return admission.may_start(share.service);
-                });
-        };
+    for (const startable_job& next : jobs)
+    {
+        this->start_items_of(next, false, admission);
+    }
+    for (const startable_job& next : jobs)
+    {
+        this->start_items_of(next, true, admission);
+    }
+}
+
+void job_runner::start_items_of(
+    const startable_job& next,
+    bool uncertain,
+    serving::item_admission& admission)
+{
+    active_job& job = *next.job;
+    std::set<std::int64_t>& items = uncertain ? job.uncertain : job.unstarted;
+    std::set<std::int64_t>& others = uncertain ? job.unstarted : job.uncertain;
+    for (auto entry = items.begin(); entry != items.end();)
+    {
         // Most jobs wait for services without free places; their items are not
         // examined.
-        if (!may_start_any())
+        const bool may_start_any = std::any_of(
+            next.route->services.begin(),
+            next.route->services.end(),
+            [&](const serving::service_share& share)
+            {
+                return admission.may_start(share.service, uncertain);
+            });
+        if (!may_start_any)
         {
+            return;
+        }
+        const std::int64_t item = *entry;
+        const bool is_trial = job.trials.contains(item);
+        const serving::item_requirement needed =
+            this->make_requirement(job, item, *next.route);
+        const auto execution = job.executions.find(item);
+        if (const std::optional<serving::hold_reason> reason =
+                this->holds.find_reason(needed, is_trial))
+        {
+            entry = items.erase(entry);
+            this->hold_item(job, item, needed, *reason, !is_trial);
             continue;
         }
-        for (const std::int64_t item : serving::unlisted_items(*next.record))
+        const bool is_uncertain = is_trial ||
+                                  this->holds.is_uncertain(needed) ||
+                                  (execution != job.executions.end() &&
+                                   execution->second->is_uncertain());
+        if (is_uncertain != uncertain)
         {
-            if (next.job->executions.contains(item) ||
-                this->is_finished(*next.job, item))
-            {
-                continue;
-            }
-            const std::string& service = serving::choose_service(
-                *next.route,
-                hash_bytes(
-                    next.job->items.at(static_cast<std::size_t>(item)).id));
-            if (admission.may_start(service))
-            {
-                this->start_item(
-                    next.job, item, *next.route, service, next.time_left);
-                admission.add(service);
-            }
-            else if (!may_start_any())
-            {
-                break;
-            }
+            others.insert(item);
+            entry = items.erase(entry);
+            continue;
+        }
+        if (!admission.may_start(needed.service, uncertain))
+        {
+            ++entry;
+            continue;
         }
+        entry = items.erase(entry);
+        admission.add(needed.service, uncertain);
+        this->start_item(next, item, needed);
     }
 }
 
 void job_runner::start_item(
-    const std::shared_ptr<active_job>& job,
+    const startable_job& next,
     std::int64_t item,
-    const serving::serving_route& route,
-    const std::string& service,
-    duration time_left)
+    const serving::item_requirement& needed)
 {
+    const std::shared_ptr<active_job>& job = next.job;
     const time_point accepted_at =
-        read_monotonic_clock() + time_left - route.completion_target;
-    job->executions[item] = std::make_shared<item_execution>(
-        this->context,
-        this->services,
-        job->items.at(static_cast<std::size_t>(item)),
-        job->id,
-        route.name,
-        job->organisation,
-        service,
-        accepted_at,
-        job->saved[item]);
+        read_monotonic_clock() + next.time_left - next.route->completion_target;
+    std::shared_ptr<item_execution>& execution = job->executions[item];
+    if (execution == nullptr)
+    {
+        execution = std::make_shared<item_execution>(
+            this->context,
+            this->services,
+            job->items.at(static_cast<std::size_t>(item)),
+            job->id,
+            next.route->name,
+            job->organisation,
+            needed.service,
+            accepted_at,
+            job->saved[item],
+            this->holds,
+            serving::item_key{job->id, item},
+            [this](const std::string& service)
+            {
+                return !this->count_waiting().has_too_many_uncertain(service);
+            });
+    }
+    if (const auto held = job->held.find(item); held != job->held.end())
+    {
+        execution->begin_trial(held->second);
+        job->held.erase(held);
+        job->trials.erase(item);
+    }
     net::spawn_guarded(
         this->context.get_executor(),
         "running an item",
@@ -445,6 +692,17 @@
         {
             break;
         }
+        if (outcome == item_outcome::held)
+        {
+            this->hold_item(
+                *job,
+                item,
+                execution->requirement(),
+                execution->held_for(),
+                !execution->was_on_trial());
+            this->schedule_reconcile();
+            co_return;
+        }
         if (outcome == item_outcome::completed)
         {
             job->finished.push_back(
@@ -483,6 +741,8 @@
         co_await pause.async_wait(as_result);
     }
     job->executions.erase(item);
+    this->holds.remove(
+        read_monotonic_clock(), execution->requirement(), {job->id, item});
     if (!job->stopped)
     {
         log_event(
--- a/servers/node/job_runner.hpp
+++ b/servers/node/job_runner.hpp
@@ -69,6 +69,16 @@
         std::string organisation;
         std::vector<platform::job_item> items;
         std::map<std::int64_t, std::shared_ptr<item_execution>> executions;
+        /// Items to start when there is a place for them.
+        std::set<std::int64_t> unstarted;
+        /// Those that may prove to be impossible for the runners.
+        std::set<std::int64_t> uncertain;
+        /// Items that no runner can run at present, and those that are to be
+        /// tried, with what they need.
+        std::map<std::int64_t, serving::item_requirement> held;
+        std::set<std::int64_t> trials;
+        /// Services of the route for which the items were examined.
+        std::vector<serving::service_share> services;
         /// Failures of items, including those before this node took over the
         /// job.
         std::map<std::int64_t, serving::item_failures> failures;
@@ -95,13 +105,46 @@
     void reconcile(time_point now);
     void load_if_inactive(const serving::job_record& job);
     void stop(active_job& job);
+    /// A job with items to start, with its route.
+    struct startable_job
+    {
+        bool late = false;
+        duration time_left = duration::zero();
+        std::shared_ptr<active_job> job;
+        std::shared_ptr<const serving::serving_route> route;
+    };
+    std::vector<startable_job> find_startable_jobs() const;
     void start_items();
+    /// Starts items of one of the two sets of a job while there are places.
+    void start_items_of(
+        const startable_job& next,
+        bool uncertain,
+        serving::item_admission& admission);
+    /// Starts an item, or continues one that was held.
     void start_item(
-        const std::shared_ptr<active_job>& job,
+        const startable_job& next,
+        std::int64_t item,
+        const serving::item_requirement& needed);
+    serving::item_requirement make_requirement(
+        const active_job& job,
+        std::int64_t item,
+        const serving::serving_route& route) const;
+    void hold_item(
+        active_job& job,
         std::int64_t item,
-        const serving::serving_route& route,
-        const std::string& service,
-        duration time_left);
+        const serving::item_requirement& needed,
+        serving::hold_reason reason,
+        bool is_new);
+    /// Forgets that an item is held or on trial.
+    void forget_hold(active_job& job, std::int64_t item);
+    /// Releases the items that runners may be able to run now.
+    void release_items(time_point now);
+    /// Applies changes of the configuration and of the runners to held items.
+    void update_holds(time_point now);
+    /// Examines the items of jobs again whose routes lead to other services
+    /// now.
+    void examine_moved_items();
+    void report_holds(time_point now);
     /// Returns the items of this node that wait for slots.
     serving::item_admission count_waiting() const;
     static bool is_finished(const active_job& job, std::int64_t item);
@@ -148,6 +191,13 @@
     /// Jobs that are being loaded or taken over.
     std::set<std::string> in_transition;
     serving::job_ownership ownership;
+    serving::item_holds holds;
+    std::int64_t seen_configuration = -1;
+    std::uint64_t seen_runners_version = 0;
+    /// Runners of each service, to notice changes.
+    std::map<std::string, std::uint64_t> seen_runners;
+    std::map<std::string, serving::hold_counts> reported_holds;
+    time_point next_hold_report;
     bool leaving = false;
     bool reconcile_scheduled = false;
 };
--- a/servers/node/runner_caller.cpp
+++ b/servers/node/runner_caller.cpp
@@ -118,11 +118,17 @@
         outcome.delivery = delivery_outcome::not_run;
         outcome.failure =
             "status " + std::to_string(opened.stream->head().status);
+        if (!serving::is_full(outcome.load) &&
+            !platform::is_leaving_response(opened.stream->head()))
+        {
+            outcome.unsuitable = serving::hold_reason::refused;
+        }
         break;
     case platform::runner_response_kind::other_weights:
         outcome.load = platform::parse_runner_load(opened.stream->head());
         outcome.delivery = delivery_outcome::other_weights;
         outcome.failure = "the runner has other weights";
+        outcome.unsuitable = serving::hold_reason::other_weights;
         break;
     case platform::runner_response_kind::wrong_runner:
         outcome.delivery = delivery_outcome::wrong_runner;
--- a/servers/node/runner_caller.hpp
+++ b/servers/node/runner_caller.hpp
@@ -45,6 +45,10 @@
     bool closed = false;
     /// Load that the head of the response stated.
     serving::runner_load load = {};
+    /// Reason for which the runner cannot run this request although it is
+    /// neither full nor leaving; nothing if it did not refuse the request or is
+    /// full or leaving.
+    std::optional<serving::hold_reason> unsuitable = {};
 };
 
 /// Sends requests to runners and records in the runner directory which runners
--- a/tests/policy/serving/item_admission_test.cpp
+++ b/tests/policy/serving/item_admission_test.cpp
@@ -47,4 +47,19 @@
     EXPECT_TRUE(admission.may_start("sound"));
 }
 
+// Guards against items that runners refuse again and again and that use up the
+// places of the sound items of their service.
+TEST(item_admission_test, uncertain_items_leave_the_places_of_others)
+{
+    item_admission admission;
+    for (int number = 0; number < 20; ++number)
+    {
+        // Runners have refused them while they waited in regular places.
+        admission.add("chat", true);
+    }
+    EXPECT_FALSE(admission.may_start("chat", true));
+    EXPECT_TRUE(admission.has_too_many_uncertain("chat"));
+    EXPECT_EQ(fill(admission, "chat"), 12U);
+}
+
 } // namespace chicory::serving
--- a/tests/servers/control_client/log_explanation_test.cpp
+++ b/tests/servers/control_client/log_explanation_test.cpp
@@ -64,6 +64,22 @@
     EXPECT_EQ(explain_log("r9", {}).error().kind, error_kind::invalid_input);
 }
 
+TEST(log_explanation_test, says_what_a_held_item_waits_for)
+{
+    const std::string held =
+        "2026-12-04T03:45:44.100000Z info 315 item_held program=n vm=a job=j "
+        "item=i service=chat reason=exceeds_memory tokens=1500 weights=\"\"\n";
+    const std::string placed =
+        "2026-12-04T03:45:45.100000Z info 309 item_placed program=n vm=a job=j "
+        "item=i runner=i-1 slot=7\n";
+    EXPECT_NE(
+        explain_log("i", {{"a", held}}).value().text.find("Held: larger"),
+        std::string::npos);
+    EXPECT_EQ(
+        explain_log("i", {{"a", held + placed}}).value().text.find("Held:"),
+        std::string::npos);
+}
+
 TEST(log_explanation_test, shows_gaps_and_unreadable_lines)
 {
     const std::string log =
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -1586,6 +1586,55 @@
     this->expect_jobs_of_the_other_service_complete();
 }
 
+// Guards against items that are larger than the memory of every runner and hold
+// all places of those that wait, so that no sound item of the service starts.
+TEST_F(node_process_test, items_too_large_for_every_runner_delay_no_others)
+{
+    this->start_with_memory(1000);
+    this->first.token_capacity = 1000;
+    this->expect_sound_items_complete_beside(1500);
+    EXPECT_EQ(this->first.unsuitable, 0U);
+    // They are still owed and run as soon as the memory has grown.
+    this->first.token_capacity = 2000;
+    this->store.put("op", "", "config", make_memory_configuration(2, 2000));
+    this->expect_both_other_jobs_complete();
+}
+
+// Guards against the same if sound items follow in the same job.
+TEST_F(node_process_test, large_items_of_a_job_do_not_delay_its_sound_ones)
+{
+    this->start_with_memory(1000);
+    std::vector<std::int64_t> tokens(30, 1500);
+    tokens.resize(40, 100);
+    ASSERT_EQ(this->submit_items("mixed", tokens), 202);
+    this->wait_for_results("mixed", 10);
+    this->expect_in_results("mixed", "state", "completed");
+}
+
+// Guards against the same for items whose size is within the configured memory,
+// but which the runners refuse each time.
+TEST_F(node_process_test, items_that_runners_refuse_delay_no_others)
+{
+    this->start_with_memory(2000);
+    this->first.token_capacity = 1000;
+    this->expect_sound_items_complete_beside(1500);
+    this->first.token_capacity = 2000;
+    this->first.started_ms = 2;
+    this->register_runner(this->first, "ready");
+    this->expect_both_other_jobs_complete();
+}
+
+// Guards against the same for items that name weights that no runner has.
+TEST_F(node_process_test, items_for_missing_weights_delay_no_others)
+{
+    this->start_with_memory(2000);
+    this->expect_sound_items_complete_beside(100, R"(,"X-Expect-Version":"9")");
+    EXPECT_EQ(this->post_request("/ask/1", "t1", "").status, 200);
+    this->first.weights = 9;
+    this->register_runner(this->first, "ready");
+    this->expect_both_other_jobs_complete();
+}
+
 // Guards against a status 421 for weights that is taken for the answer of
 // another runner: one such request takes the runner away from all callers.
 TEST_F(
@@ -1605,6 +1654,18 @@
     EXPECT_EQ(this->post_request("/ask/2", "t2", "").status, 200);
 }
 
+// An item that only one of several runners can hold reaches that runner.
+TEST_F(node_process_test, an_item_for_the_only_large_runner_completes)
+{
+    this->first.token_capacity = 1000;
+    this->register_runner(this->second, "ready");
+    this->start_with_memory(2000);
+    ASSERT_EQ(
+        this->submit_items("large", std::vector<std::int64_t>(20, 1500)), 202);
+    this->wait_for_results("large", 20);
+    this->expect_in_results("large", "state", "completed");
+}
+
 TEST_F(node_process_test, runs_a_job_and_stores_its_results)
 {
     this->start_serving();
