HTTP client: Refuse heads that begin no response

Callers got answers with the status 000 of a runner in trouble, and bodies in a transfer coding that they could not know of.

Cause: the parser accepts any three digits as a status and passes on the body of an unknown transfer coding; nobody checked either.

Change: net::check_response_head decides for each head, of whichever server, whether it begins a response. If not, the outcome is unknown, the run counts as broken, nothing is passed on and the connection is closed.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.hpp"
 
+#include "net/response_head.hpp"
 #include "net/socket_options.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -93,11 +94,6 @@
     return request;
 }
 
-bool is_informational(int status)
-{
-    return status >= 100 && status < 200;
-}
-
 error_kind classify_error(beast::error_code code)
 {
     if (code == beast::error::timeout)
@@ -224,6 +220,13 @@
         return this->link == nullptr ? 0 : this->link->buffer.size();
     }
 
+    /// Returns why a head that could be parsed begins no response; empty if it
+    /// does.
+    const std::string& why_no_response() const
+    {
+        return this->head_failure;
+    }
+
     /// Reads the head of the response. A response whose `echoed` header differs
     /// from `expected` belongs to an earlier request and is discarded. A
     /// response without that header may do so too, unless the connection is
@@ -320,7 +323,17 @@
                 this->link->buffer,
                 *this->parser,
                 as_result);
-            if (code || !is_informational(this->parser->get().result_int()))
+            if (code)
+            {
+                co_return code;
+            }
+            if (const result<void> checked = this->check_head(); !checked)
+            {
+                this->head_failure = checked.error().text;
+                co_return make_error_code(http::error::bad_value);
+            }
+            if (!is_informational_status(
+                    static_cast<int>(this->parser->get().result_int())))
             {
                 co_return code;
             }
@@ -355,6 +368,21 @@
         co_return beast::error_code();
     }
 
+    /// Checks that the parsed head begins a response.
+    result<void> check_head() const
+    {
+        const http::response<http::buffer_body>& source = this->parser->get();
+        std::vector<std::string_view> codings;
+        const auto [first, last] =
+            source.equal_range(http::field::transfer_encoding);
+        for (auto field = first; field != last; ++field)
+        {
+            codings.emplace_back(field->value().data(), field->value().size());
+        }
+        return check_response_head(
+            static_cast<int>(source.result_int()), codings);
+    }
+
     /// Copies the parsed status and headers to `response`.
     void copy_head()
     {
@@ -393,6 +421,7 @@
     /// Recreated for each head that is read.
     std::optional<http::response_parser<http::buffer_body>> parser;
     http_response response;
+    std::string head_failure;
 };
 
 asio::awaitable<beast::error_code>
@@ -546,6 +575,11 @@
     {
         outcome.failure =
             make_stream_error(server, head_code, stream->unparsed_bytes());
+        if (!stream->why_no_response().empty())
+        {
+            outcome.failure.text =
+                format_endpoint(server) + ": " + stream->why_no_response();
+        }
         co_return outcome;
     }
     outcome.stream = std::move(stream);
--- a/net/net.hpp
+++ b/net/net.hpp
@@ -8,5 +8,6 @@
 #include "net/http_client.hpp"
 #include "net/http_message.hpp"
 #include "net/http_server.hpp"
+#include "net/response_head.hpp"
 
 #endif
--- a/policy/serving/item_holds.hpp
+++ b/policy/serving/item_holds.hpp
@@ -4,7 +4,6 @@
 #include "core/core.hpp"
 
 #include <chrono>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <limits>
@@ -12,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -55,7 +55,13 @@
     std::string job;
     std::int64_t item = 0;
 
-    auto operator<=>(const item_key&) const = default;
+    bool operator==(const item_key&) const = default;
+
+    bool operator<(const item_key& other) const
+    {
+        return std::tie(this->job, this->item) <
+               std::tie(other.job, other.item);
+    }
 };
 
 /// Limits and intervals of `item_holds`.
@@ -183,7 +189,11 @@
         std::string weights;
         std::optional<item_key> refused;
 
-        auto operator<=>(const trial_target&) const = default;
+        bool operator<(const trial_target& other) const
+        {
+            return std::tie(this->weights, this->refused) <
+                   std::tie(other.weights, other.refused);
+        }
     };
     struct weights_group
     {
--- a/tests/net/http_failure_test.cpp
+++ b/tests/net/http_failure_test.cpp
@@ -82,6 +82,31 @@
 
 } // namespace
 
+// Guards against three digits that are no status of HTTP and that are passed on
+// as one.
+TEST(response_head_test, only_a_status_of_http_begins_a_response)
+{
+    for (int status = 0; status < 1000; ++status)
+    {
+        const bool is_valid = status >= 100 && status < 600 && status != 101;
+        EXPECT_EQ(check_response_head(status, {}).has_value(), is_valid)
+            << status;
+    }
+    EXPECT_EQ(
+        check_response_head(0, {}).error().text,
+        "expected a status of 100 to 599 other than 101, found 0");
+}
+
+TEST(response_head_test, only_chunks_are_accepted_as_a_transfer_coding)
+{
+    EXPECT_TRUE(check_response_head(200, {"chunked"}));
+    EXPECT_TRUE(check_response_head(200, {"Chunked"}));
+    EXPECT_FALSE(check_response_head(200, {"gzip"}));
+    EXPECT_FALSE(check_response_head(200, {"gzip, chunked"}));
+    EXPECT_FALSE(check_response_head(200, {"gzip", "chunked"}));
+    EXPECT_FALSE(check_response_head(200, {""}));
+}
+
 TEST_F(http_failure, an_idle_connection_that_the_server_closed_is_not_reused)
 {
     this->serve(&respond_ok);
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -1323,6 +1323,74 @@
         return std::string(tested.param.name);
     });
 
+// Guards against bytes that are no response of HTTP and are passed on as one: a
+// runner in trouble states a status that does not exist, or a coding of the
+// body that the caller would not see.
+INSTANTIATE_TEST_SUITE_P(
+    invalid_head,
+    cut_response_test,
+    ::testing::Values(
+        cut_response{
+            "status_000",
+            make_head("000 Odd", "{id}", "Content-Length: 2\r\n") + "hi"},
+        cut_response{
+            "status_099",
+            make_head("099 Odd", "{id}", "Content-Length: 2\r\n") + "hi"},
+        cut_response{"status_101", make_head("101 Switching", "{id}", "")},
+        cut_response{
+            "status_600",
+            make_head("600 Odd", "{id}", "Content-Length: 2\r\n") + "hi"},
+        cut_response{
+            "status_999",
+            make_head("999 Odd", "{id}", "Content-Length: 2\r\n") + "hi"},
+        cut_response{
+            "coding_without_chunks",
+            make_head("200 OK", "{id}", "Transfer-Encoding: gzip\r\n") + "hi"},
+        cut_response{
+            "coding_with_chunks",
+            make_head(
+                "200 OK", "{id}", "Transfer-Encoding: gzip, chunked\r\n") +
+                make_chunk("hi") + "0\r\n\r\n"},
+        cut_response{
+            "length_and_chunks",
+            make_head(
+                "200 OK",
+                "{id}",
+                "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n") +
+                make_chunk("hi") + "0\r\n\r\n"},
+        cut_response{
+            "two_lengths",
+            make_head(
+                "200 OK",
+                "{id}",
+                "Content-Length: 2\r\nContent-Length: 1\r\n") +
+                "hi"}),
+    [](const auto& tested)
+    {
+        return std::string(tested.param.name);
+    });
+
+TEST_F(scripted_runner_test, a_connection_with_an_invalid_head_is_not_reused)
+{
+    this->start_with_runners(
+        1,
+        [](const testing_support::scripted_request& request)
+        {
+            return testing_support::scripted_response{
+                make_head("000 Odd", request.attempt, "Content-Length: 2\r\n") +
+                "hi"};
+        });
+    const auto& requests = this->runners[0]->requests;
+    // The runner is avoided for a moment after such a response.
+    for (int number = 0; requests.size() < 2; ++number)
+    {
+        ASSERT_LT(number, 100);
+        this->post_request("/ask/1", "t" + std::to_string(number), "");
+        this->io.run_for(50ms);
+    }
+    EXPECT_NE(requests[0].connection, requests[1].connection);
+}
+
 TEST_F(scripted_runner_test, a_refusal_within_a_stream_breaks_it_off)
 {
     this->start_with_runners(
