Items: Bound the tries of items that may prove impossible

A node with thousands of items that runners refuse used 32 to 71 % of a core for seconds after it had accepted them or had started again.

Cause: each of the items is tried once before it is held, four at a time for each service, as fast as the runners refuse them. Released items counted as refused ones and were started by the same few places.

Change: at most 16 such items are started in a tick, and an item that is released is like one that was never refused.

The eight cases of node_process_test on such items pass.

--- a/servers/node/item_execution.cpp
+++ b/servers/node/item_execution.cpp
@@ -125,7 +125,12 @@
 
 bool item_execution::is_uncertain() const
 {
-    return this->is_held || this->trial || this->refusals > 0;
+    return this->trial || this->refusals > 0;
+}
+
+void item_execution::forget_refusals()
+{
+    this->refusals = 0;
 }
 
 const serving::item_requirement& item_execution::requirement() const
--- a/servers/node/item_execution.hpp
+++ b/servers/node/item_execution.hpp
@@ -70,10 +70,14 @@
     /// Returns whether that call was a trial.
     bool was_on_trial() const;
 
-    /// Returns whether the item is held or on trial, or was refused by a runner
-    /// since its last run.
+    /// Returns whether the item is on trial or was refused by a runner since
+    /// its last run.
     bool is_uncertain() const;
 
+    /// Makes the item, which is not held any more, like one that no runner has
+    /// refused.
+    void forget_refusals();
+
     /// Returns what the item needs of a runner.
     const serving::item_requirement& requirement() const;
 
--- a/servers/node/job_runner.cpp
+++ b/servers/node/job_runner.cpp
@@ -22,6 +22,10 @@
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds tick_interval(150);
 constexpr std::chrono::milliseconds failure_pause(150);
+/// Maximum number of items started in one tick that may prove to be impossible
+/// for the runners. Bounds the cost of their refusals, a third of a millisecond
+/// of a core each, when a node with many of them starts or takes over jobs.
+constexpr int max_uncertain_starts = 16;
 /// Minimum time between two log lines about held items.
 constexpr std::chrono::seconds hold_report_interval(1);
 /// A job with less time left counts as late when items are chosen.
@@ -54,6 +58,7 @@
 
 void job_runner::tick()
 {
+    this->uncertain_starts_left = max_uncertain_starts;
     this->reconcile(read_monotonic_clock());
     this->timer.expires_after(tick_interval);
     this->timer.async_wait(
@@ -433,6 +438,11 @@
         }
         job.held.erase(released.key.item);
         job.unstarted.insert(released.key.item);
+        if (const auto execution = job.executions.find(released.key.item);
+            execution != job.executions.end())
+        {
+            execution->second->forget_refusals();
+        }
     }
 }
 
@@ -604,7 +614,7 @@
             {
                 return admission.may_start(share.service, uncertain);
             });
-        if (!may_start_any)
+        if (!may_start_any || (uncertain && this->uncertain_starts_left <= 0))
         {
             return;
         }
@@ -637,6 +647,7 @@
         }
         entry = items.erase(entry);
         admission.add(needed.service, uncertain);
+        this->uncertain_starts_left -= uncertain ? 1 : 0;
         this->start_item(next, item, needed);
     }
 }
--- a/servers/node/job_runner.hpp
+++ b/servers/node/job_runner.hpp
@@ -198,6 +198,7 @@
     std::map<std::string, std::uint64_t> seen_runners;
     std::map<std::string, serving::hold_counts> reported_holds;
     time_point next_hold_report;
+    int uncertain_starts_left = 0;
     bool leaving = false;
     bool reconcile_scheduled = false;
 };
