HTTP client: Return whole responses that precede the end of an upload

Callers of once-only requests got 502 when a runner refused a long upload early and truthfully: the runner counted as crashed.

Cause: the client ended the call with the error of its write and did not read what had arrived before the server closed the connection.

Change: after a write that failed because the server closed, the client reads on. A response counts only if its head states the end of its body, as the error of the reset was consumed by the write and a read sees a clean end.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -4,6 +4,7 @@
 #include "net/socket_options.hpp"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -94,6 +95,15 @@
     return request;
 }
 
+/// Returns whether a write failed because the server closed the connection. Its
+/// response may have arrived before that.
+bool is_closed_by_peer(beast::error_code code)
+{
+    return code == asio::error::connection_reset ||
+           code == asio::error::connection_aborted ||
+           code == asio::error::broken_pipe;
+}
+
 error_kind classify_error(beast::error_code code)
 {
     if (code == beast::error::timeout)
@@ -220,6 +230,20 @@
         return this->link == nullptr ? 0 : this->link->buffer.size();
     }
 
+    /// Records that the server closed the connection before it had read the
+    /// whole request.
+    void on_closed_early()
+    {
+        this->closed_early = true;
+    }
+
+    /// Returns whether the head states where the body ends, other than by the
+    /// end of the connection.
+    bool has_stated_end() const
+    {
+        return !this->parser->need_eof();
+    }
+
     /// Returns why a head that could be parsed begins no response; empty if it
     /// does.
     const std::string& why_no_response() const
@@ -400,7 +424,7 @@
     void release()
     {
         if (this->link == nullptr || !this->parser->keep_alive() ||
-            this->link->buffer.size() > 0)
+            this->closed_early || this->link->buffer.size() > 0)
         {
             return;
         }
@@ -422,6 +446,7 @@
     std::optional<http::response_parser<http::buffer_body>> parser;
     http_response response;
     std::string head_failure;
+    bool closed_early = false;
 };
 
 asio::awaitable<beast::error_code>
@@ -547,7 +572,7 @@
     outcome.sent = send_state::maybe_sent;
     auto [write_code, written] =
         co_await http::async_write(link->stream, message, as_result);
-    if (write_code)
+    if (write_code && !is_closed_by_peer(write_code))
     {
         active_cancellation.set_close({});
         outcome.failure = make_stream_error(server, write_code, 0);
@@ -568,9 +593,21 @@
             std::move(link),
             limits.response,
             std::move(return_connection));
+    if (write_code)
+    {
+        stream->on_closed_early();
+    }
     const beast::error_code head_code =
         co_await stream->read_head(limits.echoed_header, echo, fresh);
     active_cancellation.set_close({});
+    // The write has consumed the error of a reset, so that a read sees the end
+    // of the connection as if the server had closed it after its response. Such
+    // an end proves nothing.
+    if (write_code && (head_code || !stream->has_stated_end()))
+    {
+        outcome.failure = make_stream_error(server, write_code, 0);
+        co_return outcome;
+    }
     if (head_code)
     {
         outcome.failure =
