Slots: Refuse waiting requests when the memory of the runners shrinks

A caller whose request waited for a slot when the configured memory of the service shrank below its size waited up to its deadline, and then got the same refusal as at once.

Cause: the size of a request was compared with the memory of the runners on arrival only.

Change: when the largest memory of the usable runners shrinks, waiting online requests that are larger are refused.

slot_scheduler_memory.a_waiting_request_is_refused_when_the_memory_shrinks failed before (no decision) and passes; 30 of 30 tests of the scheduler pass.

--- a/policy/serving/runner_slots.cpp
+++ b/policy/serving/runner_slots.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <tuple>
 
 namespace chicory::serving
@@ -385,6 +386,23 @@
         });
 }
 
+std::int64_t runner_slots::largest_memory() const
+{
+    std::int64_t largest = 0;
+    for (const auto& [id, use] : this->runners)
+    {
+        if (use.usable)
+        {
+            const std::int64_t capacity = use.runner.token_capacity;
+            largest = std::max(
+                largest,
+                capacity > 0 ? capacity
+                             : std::numeric_limits<std::int64_t>::max());
+        }
+    }
+    return largest;
+}
+
 bool runner_slots::exceeds_every_memory(const slot_request& request) const
 {
     bool has_usable = false;
--- a/policy/serving/runner_slots.hpp
+++ b/policy/serving/runner_slots.hpp
@@ -129,6 +129,9 @@
 
     /// Returns whether the memory of a usable runner is limited.
     bool has_token_limit() const;
+    /// Returns the tokens that the largest memory of a usable runner holds; the
+    /// largest number if one has no known limit, zero if no runner is usable.
+    std::int64_t largest_memory() const;
     /// Returns whether a request is larger than the memory of each usable
     /// runner.
     bool exceeds_every_memory(const slot_request& request) const;
--- a/policy/serving/slot_scheduler.cpp
+++ b/policy/serving/slot_scheduler.cpp
@@ -74,12 +74,31 @@
 std::vector<slot_decision> slot_scheduler::set_runners(
     time_point now, const std::vector<slot_runner>& usable)
 {
+    const std::int64_t memory_before = this->runners.largest_memory();
     this->runners.set_usable(usable);
     decisions out;
+    if (this->runners.largest_memory() < memory_before)
+    {
+        this->refuse_too_large(out, now);
+    }
     this->dispatch(out, now);
     return out;
 }
 
+void slot_scheduler::refuse_too_large(decisions& out, time_point now)
+{
+    for (const slot_id& id : this->online_queue)
+    {
+        const auto found = this->queue.find(id);
+        if (found != this->queue.end() &&
+            this->runners.exceeds_every_memory(found->second.request))
+        {
+            out.push_back({id, slot_decision_kind::refused, "", {}, {}});
+            this->remove_unserved(now, found);
+        }
+    }
+}
+
 void slot_scheduler::on_node_message(
     time_point now, const std::string& node, std::uint64_t incarnation)
 {
--- a/policy/serving/slot_scheduler.hpp
+++ b/policy/serving/slot_scheduler.hpp
@@ -323,6 +323,9 @@
     std::int64_t reserved_slots(time_point now);
     void grant(
         decisions& out, time_point now, slot_id id, const std::string& runner);
+    /// Refuses the waiting online requests that are larger than the memory of
+    /// every runner. Items wait; their nodes hold them.
+    void refuse_too_large(decisions& out, time_point now);
     /// Decides the waiting requests that are quarantined now.
     void quarantine_waiting(decisions& out, time_point now);
     /// Returns the number of tokens below which requests may be placed before a
--- a/tests/policy/serving/placement_test.cpp
+++ b/tests/policy/serving/placement_test.cpp
@@ -360,6 +360,29 @@
         std::vector<std::string>{"r0"});
 }
 
+// Guards against a request that waits until its deadline after the only runner
+// that could hold it is gone, or after the configured memory has shrunk.
+TEST(
+    slot_scheduler_memory, a_waiting_request_is_refused_when_the_memory_shrinks)
+{
+    slot_scheduler scheduler;
+    scheduler.set_runners(
+        start, {{"r0", "z1", 8, 1000}, {"r1", "z1", 1, 2000}});
+    slot_request request = make_online(1);
+    request.tokens = 1500;
+    EXPECT_EQ(granted_runners(scheduler.on_request(start, request)).size(), 1U);
+    request.id.number = 2;
+    const auto queued = scheduler.on_request(start, request);
+    ASSERT_EQ(queued.size(), 1U);
+    ASSERT_EQ(queued.front().kind, slot_decision_kind::queued);
+    const auto refused =
+        scheduler.set_runners(start + 10ms, {{"r0", "z1", 8, 1000}});
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused.front().id.number, 2U);
+    EXPECT_EQ(refused.front().kind, slot_decision_kind::refused);
+    EXPECT_EQ(scheduler.waiting(work_kind::online), 0U);
+}
+
 // Guards against an item that is refused again and again, or given up, because
 // no runner can hold it now: it waits, and runs when a larger runner comes.
 TEST(slot_scheduler_memory, an_item_larger_than_any_memory_waits)
