--- a/tests/platform/document_fuzz_test.cpp
+++ b/tests/platform/document_fuzz_test.cpp
@@ -58,7 +58,8 @@
 {
     fuzz_parser(
         R"({"service":"c","addr":"10.0.0.9:8080","zone":"z1","slots":8,
-        "state":"ready","born":1791261950012,"seq":4})",
+        "version":"v1","cold_left_ms":0,"state":"ready","born":1791261950012,
+        "seq":4,"models":[{"name":"m","version":1}]})",
         [](const std::string& bytes)
         {
             ports::record source;
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -10,6 +10,8 @@
 namespace chicory::platform
 {
 
+namespace json = boost::json;
+
 namespace
 {
 
@@ -83,7 +85,8 @@
 {
     const auto read = read_runner(make_runner_record(
         R"({"service":"chat","addr":"10.0.0.9:8080","zone":"z1","slots":8,
-        "state":"draining","born":1791261950012,"seq":4})"));
+        "version":"v1","cold_left_ms":0,"state":"draining",
+        "born":1791261950012,"seq":4})"));
     ASSERT_TRUE(read);
     EXPECT_EQ(read.value().id, "i-1");
     EXPECT_EQ(read.value().address, "10.0.0.9");
@@ -100,13 +103,13 @@
           "x",
           "[]",
           R"({"service":"c","addr":"10.0.0.9","zone":"z","slots":8,
-          "state":"ready"})",
+          "version":"v1","cold_left_ms":0,"seq":4,"state":"ready"})",
           R"({"service":"c","addr":"10.0.0.9:1","zone":"z","slots":"8",
-          "state":"ready"})",
+          "version":"v1","cold_left_ms":0,"seq":4,"state":"ready"})",
           R"({"service":"c","addr":"10.0.0.9:1","zone":"z","slots":8,
-          "state":"new"})",
+          "version":"v1","cold_left_ms":0,"seq":4,"state":"new"})",
           R"({"service":1,"addr":"10.0.0.9:1","zone":"z","slots":8,
-          "state":"ready"})"})
+          "version":"v1","cold_left_ms":0,"seq":4,"state":"ready"})"})
     {
         EXPECT_FALSE(read_runner(make_runner_record(value))) << value;
     }
@@ -115,6 +118,7 @@
 std::string make_entry(const std::string& field, const std::string& value)
 {
     std::string entry = R"({"service":"c","addr":"10.0.0.9:1","zone":"z",)"
+                        R"("version":"v1","cold_left_ms":0,"seq":4,)"
                         R"("slots":8,"state":"ready","born":7)";
     const std::size_t start = entry.find('"' + field + "\":");
     if (start == std::string::npos)
@@ -178,6 +182,47 @@
     }
 }
 
+// Guards against an entry of another writer that moves a runner to another
+// service: all fields that a runner writes were there but for one.
+TEST(
+    runner_document_test, an_entry_with_a_field_of_another_type_names_no_runner)
+{
+    const json::object sound =
+        json::parse(make_entry("stage", R"("dual")")).as_object();
+    for (const field_rule& rule : runner_fields())
+    {
+        const std::string name(rule.name);
+        json::object entry = sound;
+        entry.erase(name);
+        EXPECT_EQ(
+            read_runner(make_runner_record(json::serialize(entry))).has_value(),
+            !rule.is_required)
+            << name;
+        for (const json::value& other :
+             {json::value("4"),
+              json::value(4),
+              json::value(4.5),
+              json::value(true),
+              json::value(nullptr),
+              json::value(json::array()),
+              json::value(json::object())})
+        {
+            const bool is_same =
+                (rule.type == field_type::text && other.is_string()) ||
+                (rule.type == field_type::whole_number && other.is_int64()) ||
+                (rule.type == field_type::number && other.is_number()) ||
+                (rule.type == field_type::list && other.is_array());
+            entry[name] = other;
+            if (!is_same)
+            {
+                EXPECT_FALSE(
+                    read_runner(make_runner_record(json::serialize(entry))))
+                    << name << " " << json::serialize(other);
+            }
+        }
+    }
+}
+
 // Guards against a list of runners that nobody can follow because the value of
 // one row is not base64.
 TEST(record_document_test, an_odd_row_does_not_hide_the_others)
--- a/tests/process/endless_answers_test.cpp
+++ b/tests/process/endless_answers_test.cpp
@@ -76,7 +76,8 @@
             "i-9",
             R"({"service":"chat","addr":"127.0.0.1:)" +
                 std::to_string(this->runner.address().port) +
-                R"(","zone":"z1","slots":64,"state":"ready","born":1,"seq":1})");
+                R"(","zone":"z1","version":"v1","cold_left_ms":0,"slots":64,)" +
+                R"("state":"ready","born":1,"seq":1})");
         const std::filesystem::path settings = this->files / "node.toml";
         std::ofstream(settings) << make_node_settings(
             this->requests, this->readiness, this->store.listen(), "error");
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -582,6 +582,42 @@
 
 // Guards against requests that are refused because up to four entries without
 // an address count as runners and are tried first.
+// Guards against requests that a service runs to which no route leads: another
+// writer names a living runner under another service.
+TEST_F(node_process_test, an_entry_of_another_writer_moves_no_runner)
+{
+    this->start_serving();
+    this->store.put("op", "", "config", make_moved_configuration(2, "other"));
+    this->wait_until(
+        [this]
+        {
+            return this->post_request("/ask/1", "t1", "").status == 503;
+        });
+    this->first.service = "other";
+    std::string entry = this->first.entry("ready");
+    const std::string own = R"("seq":1)";
+    entry.replace(entry.find(own), own.size(), R"("seq":"1")");
+    this->store.put("servers", "", "i-1", entry);
+    const std::size_t before = this->first.arrivals.size();
+    for (int number = 0; number < 10; ++number)
+    {
+        this->io.run_for(50ms);
+        // A request that comes again after a refusal would wait for a runner.
+        const std::string attempt = std::to_string(number);
+        EXPECT_EQ(
+            this->post_request("/ask/u" + attempt, "u" + attempt, "").status,
+            503);
+    }
+    EXPECT_EQ(this->first.arrivals.size(), before);
+    // Its own entry is used again.
+    this->register_runner(this->first, "ready");
+    this->wait_until(
+        [this]
+        {
+            return this->post_request("/ask/1", "t2", "").status == 200;
+        });
+}
+
 TEST_F(node_process_test, requests_go_past_entries_without_an_address)
 {
     const std::string entry = this->first.entry("ready");
@@ -689,7 +725,8 @@
             "i-9",
             R"({"service":"chat","addr":"127.0.0.1:)" +
                 std::to_string(this->broken_runner.address().port) +
-                R"(","zone":"z1","slots":8,"state":"ready","born":1,"seq":1})");
+                R"(","zone":"z1","version":"v1","cold_left_ms":0,"slots":8,)" +
+                R"("state":"ready","born":1,"seq":1})");
         this->start();
         this->wait_until(
             [this]
@@ -869,7 +906,8 @@
                 "s-" + std::to_string(number),
                 R"({"service":"chat","addr":"127.0.0.1:)" +
                     std::to_string(this->runners.back()->port()) +
-                    R"(","zone":"z1","slots":8,"state":"ready","born":1})");
+                    R"(","zone":"z1","version":"v1","cold_left_ms":0,)" +
+                    R"("slots":8,"state":"ready","born":1,"seq":1})");
         }
         this->start();
         this->wait_until(
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -64,7 +64,8 @@
 {
     return R"({"service":")" + this->service + R"(","addr":"127.0.0.1:)" +
            std::to_string(this->server.port()) +
-           R"(","zone":"z1","slots":8,"state":")" + state + R"(","born":)" +
+           R"(","zone":"z1","version":"v1","cold_left_ms":0,"slots":8,)" +
+           R"("state":")" + state + R"(","born":)" +
            std::to_string(this->started_ms) +
            R"(,"models":[{"name":"m","version":)" +
            std::to_string(this->weights) + R"(}],"seq":1})";
