HTTP client: Close idle connections that prove silent with another one

Cause: after all open connections to the store had gone silent, each call took another one of up to 64 idle connections and waited for its time limit.

Evidence: silent_connections_test with 10 and 60 idle connections: the five calls after the first one failed before the change.

Change: a call without a response in time on a reused connection closes the idle connections to that server that carried no response since it began.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -62,6 +62,8 @@
     /// server may close it.
     std::chrono::steady_clock::time_point usable_until =
         std::chrono::steady_clock::time_point::max();
+    /// Time at which the last response on the connection was complete.
+    std::chrono::steady_clock::time_point last_response;
 };
 
 std::string format_endpoint(const endpoint& server)
@@ -174,9 +176,25 @@
         if (idle_connections.size() < max_idle_per_server)
         {
             finished->stream.expires_never();
+            finished->last_response = std::chrono::steady_clock::now();
             idle_connections.push_back(std::move(finished));
         }
     }
+
+    /// Closes the idle connections to a server that carried no response since a
+    /// call began that got none on a reused connection. They were open through
+    /// the same time, and calls on them would time out one after the other if
+    /// the path of the connections is gone.
+    void close_unproven(
+        const endpoint& server, std::chrono::steady_clock::time_point since)
+    {
+        std::erase_if(
+            this->idle[server],
+            [since](const std::unique_ptr<connection>& candidate)
+            {
+                return candidate->last_response < since;
+            });
+    }
 };
 
 namespace
@@ -570,8 +588,16 @@
         make_request(server, request);
     link->last_echo = echo;
     outcome.sent = send_state::maybe_sent;
+    const auto record_failure = [&](beast::error_code code)
+    {
+        if (!fresh && code == beast::error::timeout)
+        {
+            owner->close_unproven(server, started);
+        }
+    };
     auto [write_code, written] =
         co_await http::async_write(link->stream, message, as_result);
+    record_failure(write_code);
     if (write_code && !is_closed_by_peer(write_code))
     {
         active_cancellation.set_close({});
@@ -600,6 +626,7 @@
     const beast::error_code head_code =
         co_await stream->read_head(limits.echoed_header, echo, fresh);
     active_cancellation.set_close({});
+    record_failure(head_code);
     // The write has consumed the error of a reset, so that a read sees the end
     // of the connection as if the server had closed it after its response. Such
     // an end proves nothing.
