--- a/policy/serving/item_holds.hpp
+++ b/policy/serving/item_holds.hpp
@@ -107,7 +107,8 @@
 /// these weights, or those up to twice its size.
 ///
 /// A held item costs memory only. The cost of a call depends on the number of
-/// items that it releases, not on the number of those held.
+/// items that it releases, not on the number of those held; only
+/// `on_runners_changed` looks at all trials of a service.
 class item_holds
 {
 public:
