Items: Try the items for missing weights again after any end of a trial

Items held for weights that no runner had could stay held for ever after a runner had them.

Cause: hold() scheduled the next trial of the items for the same weights only if the one on trial was refused for its weights again. If it was refused for another reason, for instance as too large, nothing woke the others but a new configuration or a run with these weights.

Change: each end of a trial without a run schedules the next one.

--- a/policy/serving/item_holds.cpp
+++ b/policy/serving/item_holds.cpp
@@ -107,7 +107,7 @@
         item = {needed.tokens, times};
         state.refused_by_size.emplace(needed.tokens, key);
         schedule(state, {"", key}, item.times, times.next);
-        return;
+        break;
     }
     case hold_reason::other_weights:
     {
@@ -120,12 +120,13 @@
             group.times.interval = times.interval;
             schedule(state, {needed.weights, {}}, group.times, times.next);
         }
-        return;
+        break;
     }
     }
     if (ended)
     {
-        // The trial shows nothing about the other items for these weights.
+        // A trial may end for another reason than that for which the other
+        // items for its weights are held, which are then tried next.
         update_group(now, state, needed.weights);
     }
 }
--- a/tests/policy/serving/item_holds_test.cpp
+++ b/tests/policy/serving/item_holds_test.cpp
@@ -163,6 +163,42 @@
     EXPECT_TRUE(holds.empty());
 }
 
+// Guards against items for the same weights that stay held for ever, because
+// the one on trial was refused for another reason.
+TEST(item_holds_test, items_are_tried_after_a_trial_refused_for_another_reason)
+{
+    for (const hold_reason reason :
+         {hold_reason::refused, hold_reason::exceeds_memory})
+    {
+        item_holds holds;
+        refuse_and_hold(
+            holds, start, needs(9, "9"), {"a", 0}, hold_reason::other_weights);
+        holds.hold(start, needs(9, "9"), {"b", 0}, hold_reason::other_weights);
+        const auto first = holds.release(start + 1s);
+        ASSERT_EQ(first.size(), 1U);
+        ASSERT_TRUE(holds.on_refused(needs(9, "9"), first[0].key, reason, 1));
+        holds.hold(start + 1s, needs(9, "9"), first[0].key, reason);
+        std::set<item_key> tried;
+        for (time_point now = start + 1s; now < start + 20s; now += 150ms)
+        {
+            for (const auto& released : holds.release(now))
+            {
+                tried.insert(released.key);
+                holds.on_refused(needs(9, "9"), released.key, reason, 1);
+                holds.hold(now, needs(9, "9"), released.key, reason);
+            }
+        }
+        EXPECT_TRUE(tried.contains({"b", 0}) || tried.contains({"a", 0}));
+        EXPECT_TRUE(std::any_of(
+            tried.begin(),
+            tried.end(),
+            [&first](const item_key& key)
+            {
+                return !(key == first[0].key);
+            }));
+    }
+}
+
 // Replays random jobs before a runner whose memory and weights change. Guards
 // against items that are lost between the holds, and against any that stay held
 // after the runner can run them.
