Items: Hold those whose runs end without a usable response

Sound items waited behind items that each runner answers with a 200 without a stream; items answered with 404 or 502 were run again without end, 255 runs a second for 200 items.

Cause: such a response counted as a run that began, so that the item was never held, and each one blamed the runner.

Evidence: items_without_a_usable_response_delay_no_others: with status 200 the sound items did not end in 20 s; 764 and 784 runs in 3 s with 404 and 502.

Change: a run counts as possible once a stream begins or the runner states a failure; any other response is recorded like a refusal. The runner is blamed for the first of them only.

The test fails before the change and passes.

--- a/servers/node/item_execution.cpp
+++ b/servers/node/item_execution.cpp
@@ -273,12 +273,19 @@
                         : to_slot_outcome(outcome);
 }
 
-bool item_execution::record_refusal(const runner_outcome& outcome)
+void item_execution::record_acceptance()
+{
+    this->refusals = 0;
+    this->trial.reset();
+    this->holds.on_accepted(this->needed, this->key);
+}
+
+bool item_execution::record_refusal(serving::hold_reason reason)
 {
     ++this->refusals;
-    this->hold_cause = *outcome.unsuitable;
+    this->hold_cause = reason;
     return this->holds.on_refused(
-               this->needed, this->key, *outcome.unsuitable, this->refusals) ||
+               this->needed, this->key, reason, this->refusals) ||
            !this->may_wait_refused(this->needed.service);
 }
 
@@ -365,7 +372,7 @@
                  {"item", this->item.id},
                  {"runner", slot.runner},
                  {"error", outcome.failure}});
-            if (outcome.unsuitable && this->record_refusal(outcome))
+            if (outcome.unsuitable && this->record_refusal(*outcome.unsuitable))
             {
                 co_return step::held;
             }
@@ -374,9 +381,6 @@
         }
         co_return step::retry;
     }
-    this->refusals = 0;
-    this->trial.reset();
-    this->holds.on_accepted(this->needed, this->key);
     this->has_slot = true;
     this->run_started = started;
     const step next =
@@ -393,6 +397,7 @@
     const int status = response->head().status;
     if (status == status_ok && platform::is_event_stream(response->head()))
     {
+        this->record_acceptance();
         this->stream = std::move(response);
         if (this->stopped || this->preempted)
         {
@@ -402,8 +407,11 @@
     }
     // The runner is blamed only for the item's first failure: an item that also
     // failed at another runner is no evidence against this one.
-    const bool is_runner_failure =
-        status >= status_failed && !std::exchange(this->has_failed_run, true);
+    const bool is_doubtful =
+        this->is_uncertain() || this->holds.is_uncertain(this->needed);
+    const bool is_runner_failure = status >= status_failed &&
+                                   !std::exchange(this->has_failed_run, true) &&
+                                   (status == status_failed || !is_doubtful);
     serving::slot_outcome outcome = serving::slot_outcome::completed;
     if (is_runner_failure)
     {
@@ -411,17 +419,16 @@
     }
     else if (status < status_first_redirection)
     {
-        // A success without a stream has no text of an item.
-        outcome = serving::slot_outcome::broken;
+        // A success without a stream has no text of an item. Like a failure, it
+        // is evidence against the runner only if it is the item's first one.
+        outcome = is_doubtful ? serving::slot_outcome::rejected
+                              : serving::slot_outcome::broken;
     }
     this->services.slots.release(slot.id, outcome);
-    if (status == status_impossible)
-    {
-        co_return step::impossible;
-    }
-    if (status == status_failed)
+    if (status == status_impossible || status == status_failed)
     {
-        co_return step::failed;
+        this->record_acceptance();
+        co_return status == status_failed ? step::failed : step::impossible;
     }
     log_event(
         event::item_interrupted,
@@ -430,8 +437,12 @@
          {"runner", slot.runner},
          {"error",
           "expected a stream, found status " + std::to_string(status)}});
-    this->avoid_runner(slot.runner, max_avoided_runners);
+    this->avoid_runner(slot.runner, max_unsuitable_runners);
     ++this->fruitless_runs;
+    if (this->record_refusal(serving::hold_reason::refused))
+    {
+        co_return step::held;
+    }
     co_await this->pause_before_retry();
     co_return step::retry;
 }
--- a/servers/node/item_execution.hpp
+++ b/servers/node/item_execution.hpp
@@ -119,8 +119,11 @@
     /// Returns the outcome of the use of a slot whose run did not begin.
     serving::slot_outcome
     find_slot_outcome(const runner_outcome& outcome) const;
-    /// Records that a runner refused the item. Returns whether it is held now.
-    bool record_refusal(const runner_outcome& outcome);
+    /// Records that a runner can run the item, whatever its outcome.
+    void record_acceptance();
+    /// Records that a runner refused the item, or ran it and answered with
+    /// neither a text nor a failure. Returns whether the item is to be held.
+    bool record_refusal(serving::hold_reason reason);
     boost::asio::awaitable<step> run_once();
     boost::asio::awaitable<step> handle_response(
         const slot_result& slot, std::unique_ptr<net::http_stream> response);
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -1741,6 +1741,48 @@
     this->expect_both_other_jobs_complete();
 }
 
+// Guards against items that are run again and again, while sound ones wait,
+// because each run ends with a response that is neither a text nor a failure.
+TEST_F(node_process_test, items_without_a_usable_response_delay_no_others)
+{
+    this->start_with_memory(2000);
+    for (const int status : {404, 200, 502})
+    {
+        this->first.odd_status = status;
+        this->first.odd_runs = 0;
+        const std::string name = std::to_string(status);
+        for (int job = 0; job < 5; ++job)
+        {
+            ASSERT_EQ(
+                this->submit_items(
+                    "odd-" + name + "-" + std::to_string(job),
+                    std::vector<std::int64_t>(40, 100),
+                    R"(,"X-Odd":"1")"),
+                202);
+        }
+        this->io.run_for(500ms);
+        ASSERT_EQ(
+            this->submit_items(
+                "sound-" + name, std::vector<std::int64_t>(10, 100)),
+            202);
+        this->wait_for_results("sound-" + name, 10);
+        this->expect_in_results("sound-" + name, "state", "completed");
+        // Each item is run once or a few times before it is held.
+        this->io.run_for(3s);
+        const std::size_t before = this->first.odd_runs;
+        this->io.run_for(3s);
+        EXPECT_LT(this->first.odd_runs - before, 400U) << status;
+        this->first.odd_status = 0;
+        ++this->first.started_ms;
+        this->register_runner(this->first, "ready");
+        for (int job = 0; job < 5; ++job)
+        {
+            this->wait_for_results(
+                "odd-" + name + "-" + std::to_string(job), 40);
+        }
+    }
+}
+
 // Guards against a status 421 for weights that is taken for the answer of
 // another runner: one such request takes the runner away from all callers.
 TEST_F(
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -138,6 +138,13 @@
         co_await exchange.respond(std::move(refusal));
         co_return;
     }
+    if (this->odd_status != 0 && headers.contains("x-odd"))
+    {
+        ++this->odd_runs;
+        refusal.status = this->odd_status;
+        co_await exchange.respond(std::move(refusal));
+        co_return;
+    }
     engine_arrival arrival;
     arrival.attempt = get_header(headers, "x-attempt-id");
     arrival.target = exchange.head().target;
--- a/tests/standins/engine_standin.hpp
+++ b/tests/standins/engine_standin.hpp
@@ -85,6 +85,11 @@
     std::int64_t weights = 1;
     /// Number of requests that were refused for one of these two reasons.
     std::size_t unsuitable = 0;
+    /// A request with the header `X-Odd` is run and gets this status without a
+    /// stream; zero treats it like the others.
+    int odd_status = 0;
+    /// Number of such requests.
+    std::size_t odd_runs = 0;
     /// If true, every response states that the runner is leaving.
     bool reports_leaving = false;
     /// Start time of the process that the entry reports, in milliseconds.
