HTTP client: Return the head of an early response without a length

A runner that refuses a long upload early and truthfully, with a head that states no length, still counted as one that had crashed.

Cause: the client dropped each response whose end is not stated when its write had failed, although a refusal is known from its head.

Change: the head is returned; the end of such a body is an error when it is read, as before, so that a part never looks whole.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -249,19 +249,14 @@
     }
 
     /// Records that the server closed the connection before it had read the
-    /// whole request.
+    /// whole request. The write has consumed the error of a reset, so that a
+    /// read sees the end of the connection as if it were the end of a body
+    /// without a stated length. Such an end is an error.
     void on_closed_early()
     {
         this->closed_early = true;
     }
 
-    /// Returns whether the head states where the body ends, other than by the
-    /// end of the connection.
-    bool has_stated_end() const
-    {
-        return !this->parser->need_eof();
-    }
-
     /// Returns why a head that could be parsed begins no response; empty if it
     /// does.
     const std::string& why_no_response() const
@@ -339,6 +334,13 @@
                 co_return std::string(bytes.data(), length);
             }
         }
+        if (this->closed_early && this->parser->need_eof())
+        {
+            co_return make_error(
+                error_kind::unavailable,
+                format_endpoint(this->server) +
+                    ": closed before the end of a body without a length");
+        }
         this->release();
         co_return std::string();
     }
@@ -627,10 +629,7 @@
         co_await stream->read_head(limits.echoed_header, echo, fresh);
     active_cancellation.set_close({});
     record_failure(head_code);
-    // The write has consumed the error of a reset, so that a read sees the end
-    // of the connection as if the server had closed it after its response. Such
-    // an end proves nothing.
-    if (write_code && (head_code || !stream->has_stated_end()))
+    if (write_code && head_code)
     {
         outcome.failure = make_stream_error(server, write_code, 0);
         co_return outcome;
--- a/tests/net/early_response_test.cpp
+++ b/tests/net/early_response_test.cpp
@@ -37,7 +37,10 @@
 {
     const char* name;
     std::string bytes;
-    /// Status and body that the client must return; status 0 if it must fail.
+    /// Status of the head that the client must return; 0 if it must fail. A
+    /// refusal is known from its head, whatever follows.
+    int head_status = 0;
+    /// Status and body if the response is whole; status 0 if it is not.
     int status = 0;
     std::string body = {};
 };
@@ -106,9 +109,11 @@
         open_outcome opened = co_await this->client.open(
             target, std::move(request), std::move(limits), nullptr);
         this->status = 0;
+        this->head_status = 0;
         this->failure = opened.failure.kind;
         if (opened.stream != nullptr)
         {
+            this->head_status = opened.stream->head().status;
             const result<std::string> read = co_await read_whole(
                 *opened.stream,
                 read_monotonic_clock() + duration(time_limit),
@@ -124,6 +129,8 @@
     asio::ip::tcp::acceptor acceptor;
     int connections = 0;
     int status = 0;
+    /// Status of the head, also if the body is not known to be whole.
+    int head_status = 0;
     std::string body;
     error_kind failure = error_kind::timeout;
 };
@@ -140,6 +147,7 @@
         this->io.run();
         EXPECT_EQ(this->status, expected.status);
         EXPECT_EQ(this->body, expected.body);
+        EXPECT_EQ(this->head_status, expected.head_status);
         // The connection is not used again.
         EXPECT_EQ(this->connections, number);
     }
@@ -150,13 +158,17 @@
     early_response_test,
     testing::Combine(
         testing::Values(
-            early_response{"length", framing_length + "busy", 503, "busy"},
-            early_response{"length_cut", framing_length + "bu"},
+            early_response{"length", framing_length + "busy", 503, 503, "busy"},
+            early_response{"length_cut", framing_length + "bu", 503},
             early_response{
-                "chunks", framing_chunks + "2\r\nhi\r\n0\r\n\r\n", 200, "hi"},
-            early_response{"chunks_cut", framing_chunks + "2\r\nhi\r\n"},
-            early_response{"end_of_connection", framing_end + "a part"},
-            early_response{"end_of_connection_no_body", framing_end},
+                "chunks",
+                framing_chunks + "2\r\nhi\r\n0\r\n\r\n",
+                200,
+                200,
+                "hi"},
+            early_response{"chunks_cut", framing_chunks + "2\r\nhi\r\n", 200},
+            early_response{"end_of_connection", framing_end + "a part", 200},
+            early_response{"end_of_connection_no_body", framing_end, 200},
             early_response{"head_cut", "HTTP/1.1 503 Busy\r\nX-Att"},
             early_response{"none", ""}),
         testing::Bool()),
