Items: Keep refused items apart from those that run

The count of waiting items, made at each tick and each refusal, passed every item that had been refused and was held; an item that was given up between its release and its start left its execution behind.

Cause: executions of held items stayed among those that run.

Change: they are kept apart unless they have text to save, and an item that is given up while it does not run takes its execution with it.

--- a/servers/node/job_runner.cpp
+++ b/servers/node/job_runner.cpp
@@ -314,14 +314,16 @@
         {
             execution->second->stop();
         }
-        if (job.held.contains(item))
+        if (job.held.contains(item) || job.unstarted.contains(item) ||
+            job.uncertain.contains(item))
         {
+            // It does not run, so that no run ends and removes it.
             this->forget_hold(job, item);
-            // An item that was held has no run that would remove it.
             job.executions.erase(item);
+            job.suspended.erase(item);
+            job.unstarted.erase(item);
+            job.uncertain.erase(item);
         }
-        job.unstarted.erase(item);
-        job.uncertain.erase(item);
         if (!this->is_finished(job, item))
         {
             job.finished.push_back(
@@ -406,6 +408,18 @@
     }
 }
 
+item_execution*
+job_runner::find_suspended(const active_job& job, std::int64_t item)
+{
+    if (const auto found = job.suspended.find(item);
+        found != job.suspended.end())
+    {
+        return found->second.get();
+    }
+    const auto found = job.executions.find(item);
+    return found == job.executions.end() ? nullptr : found->second.get();
+}
+
 void job_runner::forget_hold(active_job& job, std::int64_t item)
 {
     const auto found = job.held.find(item);
@@ -438,10 +452,10 @@
         }
         job.held.erase(released.key.item);
         job.unstarted.insert(released.key.item);
-        if (const auto execution = job.executions.find(released.key.item);
-            execution != job.executions.end())
+        if (item_execution* const execution =
+                find_suspended(job, released.key.item))
         {
-            execution->second->forget_refusals();
+            execution->forget_refusals();
         }
     }
 }
@@ -622,7 +636,7 @@
         const bool is_trial = job.trials.contains(item);
         const serving::item_requirement needed =
             this->make_requirement(job, item, *next.route);
-        const auto execution = job.executions.find(item);
+        const item_execution* const execution = find_suspended(job, item);
         if (const std::optional<serving::hold_reason> reason =
                 this->holds.find_reason(needed, is_trial))
         {
@@ -630,10 +644,9 @@
             this->hold_item(job, item, needed, *reason, !is_trial);
             continue;
         }
-        const bool is_uncertain = is_trial ||
-                                  this->holds.is_uncertain(needed) ||
-                                  (execution != job.executions.end() &&
-                                   execution->second->is_uncertain());
+        const bool is_uncertain =
+            is_trial || this->holds.is_uncertain(needed) ||
+            (execution != nullptr && execution->is_uncertain());
         if (is_uncertain != uncertain)
         {
             others.insert(item);
@@ -661,6 +674,10 @@
     const time_point accepted_at =
         read_monotonic_clock() + next.time_left - next.route->completion_target;
     std::shared_ptr<item_execution>& execution = job->executions[item];
+    if (auto suspended = job->suspended.extract(item))
+    {
+        execution = std::move(suspended.mapped());
+    }
     if (execution == nullptr)
     {
         execution = std::make_shared<item_execution>(
@@ -711,6 +728,11 @@
                 execution->requirement(),
                 execution->held_for(),
                 !execution->was_on_trial());
+            if (!execution->unsaved())
+            {
+                job->suspended[item] = execution;
+                job->executions.erase(item);
+            }
             this->schedule_reconcile();
             co_return;
         }
--- a/servers/node/job_runner.hpp
+++ b/servers/node/job_runner.hpp
@@ -69,6 +69,10 @@
         std::string organisation;
         std::vector<platform::job_item> items;
         std::map<std::int64_t, std::shared_ptr<item_execution>> executions;
+        /// Executions of items that were refused and do not run now, apart from
+        /// those with text to save. They are kept apart, so that no tick passes
+        /// them.
+        std::map<std::int64_t, std::shared_ptr<item_execution>> suspended;
         /// Items to start when there is a place for them.
         std::set<std::int64_t> unstarted;
         /// Those that may prove to be impossible for the runners.
@@ -135,6 +139,10 @@
         const serving::item_requirement& needed,
         serving::hold_reason reason,
         bool is_new);
+    /// Returns the execution of an item that was refused and does not run now,
+    /// or null.
+    static item_execution*
+    find_suspended(const active_job& job, std::int64_t item);
     /// Forgets that an item is held or on trial.
     void forget_hold(active_job& job, std::int64_t item);
     /// Releases the items that runners may be able to run now.
