--- a/servers/node/job_runner.cpp
+++ b/servers/node/job_runner.cpp
@@ -23,8 +23,8 @@
 constexpr std::chrono::milliseconds tick_interval(150);
 constexpr std::chrono::milliseconds failure_pause(150);
 /// Maximum number of items started in one tick that may prove to be impossible
-/// for the runners. Bounds the cost of their refusals, a third of a millisecond
-/// of a core each, when a node with many of them starts or takes over jobs.
+/// for the runners. Bounds the cost of their refusals on a small VM that starts
+/// or takes over thousands of them.
 constexpr int max_uncertain_starts = 16;
 /// Minimum time between two log lines about held items.
 constexpr std::chrono::seconds hold_report_interval(1);
