Tests: Take the ports of the access tests below the ephemeral range

Cause: access_test asked the kernel for ephemeral ports and gave them back before the node listened on them. Outgoing connections of other processes could take one in between; the node then did not start, and the test waited for 30 s. Its log does not show the assertion; 2 of 180 runs of this test beside eleven others failed so, each with "process->start()" as the first failure.

Measured: 0 of 372 runs of this test failed beside eleven others; the 13 tests of access_test pass.

--- a/tests/servers/node/access_test.cpp
+++ b/tests/servers/node/access_test.cpp
@@ -2,6 +2,7 @@
 // names that reach a runner, and jobs that another organisation can see.
 
 #include "servers/node/node.hpp"
+#include "tests/process/http_call.hpp"
 #include "tests/standins/engine_standin.hpp"
 #include "tests/standins/store_standin.hpp"
 #include "tests/support/memory_records.hpp"
@@ -9,7 +10,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <gtest/gtest.h>
@@ -78,19 +78,12 @@
               &this->settings.readiness,
               &this->settings.entry_addresses})
         {
-            *listen_endpoint = {"127.0.0.1", this->find_free_port()};
+            *listen_endpoint = {"127.0.0.1", process::find_free_port()};
         }
-        this->settings.gossip_port = this->find_free_port();
-        this->settings.slot_port = this->find_free_port();
-        this->settings.peer_port = this->find_free_port();
-        this->settings.metrics_port = this->find_free_port();
-    }
-
-    std::uint16_t find_free_port()
-    {
-        asio::ip::tcp::acceptor acceptor(
-            this->io, {asio::ip::make_address("127.0.0.1"), 0});
-        return acceptor.local_endpoint().port();
+        this->settings.gossip_port = process::find_free_port();
+        this->settings.slot_port = process::find_free_port();
+        this->settings.peer_port = process::find_free_port();
+        this->settings.metrics_port = process::find_free_port();
     }
 
     void configure(const std::string& text)
@@ -103,7 +96,8 @@
         this->configure(configuration);
         this->process =
             std::make_unique<node_process>(this->io, this->settings);
-        ASSERT_TRUE(this->process->start());
+        const result<void> started = this->process->start();
+        ASSERT_TRUE(started) << started.error().text;
         this->wait_until(
             [this]
             {
