Jobs: Tell the version of a record from the newest one of the store

Cause: a response to a transaction states the newest version of the store, which the node took for that of the written record. If others write before a slow response is formed, each later write of the node requires a version that the record never had. The refusal brings the record, but its version is lower than the one in the view, and it was dropped.

Change: a node knows a range of versions after its own write, and adopts the record that comes with a refusal unless its view has changed since. Once a read shows that the store states more than the record's version, a write requires the lowest version, which no other writer's state has.

--- a/policy/serving/serving.hpp
+++ b/policy/serving/serving.hpp
@@ -34,6 +34,7 @@
 #include "policy/serving/slot_messages.hpp"
 #include "policy/serving/slot_scheduler.hpp"
 #include "policy/serving/stop_plan.hpp"
+#include "policy/serving/version_range.hpp"
 #include "policy/serving/wait_estimate.hpp"
 
 #endif
--- a/ports/record_store.hpp
+++ b/ports/record_store.hpp
@@ -58,9 +58,11 @@
 struct record_outcome
 {
     bool committed = false;
-    /// Version of all written records.
+    /// Newest version of the store when it formed the response. The version of
+    /// the written records is not above it.
     std::int64_t version = 0;
-    /// The records of all conditions as they were when a condition failed.
+    /// The records of all conditions as they were when a condition failed,
+    /// without those that did not exist.
     std::vector<record> conflicts;
 };
 
--- a/servers/node/job_store.cpp
+++ b/servers/node/job_store.cpp
@@ -200,7 +200,7 @@
     const watch_wait waiting(this->watch);
     const time_point until =
         read_monotonic_clock() + duration(version_wait_limit);
-    while (this->view.limit_version(partition) < version)
+    while (this->view.limit_in(partition).versions.lowest() < version)
     {
         if (read_monotonic_clock() >= until)
         {
@@ -208,7 +208,8 @@
                 error_kind::unavailable,
                 "jobs: expected changes up to version " +
                     std::to_string(version) + ", found them up to " +
-                    std::to_string(this->view.limit_version(partition)));
+                    std::to_string(
+                        this->view.limit_in(partition).versions.lowest()));
         }
         timer.expires_after(version_poll_interval);
         co_await timer.async_wait(as_result);
@@ -319,7 +320,9 @@
         request.writes = body_writes;
         request.writes.push_back(
             {std::string(job_table), job.id, serving::encode_job(job)});
-        const std::int64_t required = this->view.limit_version(partition);
+        const known_limit last = this->view.limit_in(partition);
+        const std::int64_t required =
+            this->view.version_to_require(last.versions);
         if (max_waiting_tokens > 0)
         {
             const std::int64_t waiting_tokens =
@@ -342,20 +345,27 @@
             job.version = outcome.value().version;
             if (max_waiting_tokens > 0)
             {
-                this->view.record_limit_version(partition, job.version);
+                this->view.adopt_limit(
+                    partition,
+                    {job.id,
+                     serving::version_range::of_write(required, job.version)});
             }
-            this->view.adopt(partition, std::move(job));
+            const serving::version_range versions =
+                serving::version_range::of_write(0, job.version);
+            this->view.adopt(partition, std::move(job), versions);
             this->notify_change();
             co_return submit_outcome::accepted;
         }
         if (outcome)
         {
-            std::int64_t newest_limit = 0;
+            known_limit newest;
             for (const ports::record& found : outcome.value().conflicts)
             {
                 if (found.key == limit_key)
                 {
-                    newest_limit = found.version;
+                    newest = {
+                        found.value,
+                        serving::version_range::of_read(found.version)};
                     continue;
                 }
                 this->view.apply(found);
@@ -366,11 +376,13 @@
                 co_return *known;
             }
             const bool is_behind =
-                max_waiting_tokens > 0 && newest_limit != required;
+                max_waiting_tokens > 0 && newest.versions.lowest() != required;
             if (is_behind)
             {
-                static_cast<void>(
-                    co_await this->wait_for_version(partition, newest_limit));
+                this->view.apply_limit_refusal(
+                    partition, last.versions, newest);
+                static_cast<void>(co_await this->wait_for_version(
+                    partition, newest.versions.lowest()));
             }
             if (read_monotonic_clock() - started > duration(submit_limit))
             {
@@ -496,6 +508,7 @@
             co_return known.error();
         }
         const serving::job_record before = known.value().record;
+        const serving::version_range versions = known.value().versions;
         const std::string partition = known.value().partition;
         std::optional<job_change> next = make_change(before);
         if (!next)
@@ -509,8 +522,8 @@
         }
         ports::record_transaction request;
         request.partition = partition;
-        request.conditions.push_back(
-            {std::string(job_table), id, before.version});
+        const std::int64_t required = this->view.version_to_require(versions);
+        request.conditions.push_back({std::string(job_table), id, required});
         request.writes = std::move(next->writes);
         request.writes.push_back(
             {std::string(job_table), id, serving::encode_job(next->record)});
@@ -519,18 +532,19 @@
         if (outcome && outcome.value().committed)
         {
             next->record.version = outcome.value().version;
-            this->view.adopt(partition, next->record);
+            this->view.adopt(
+                partition,
+                next->record,
+                serving::version_range::of_write(
+                    required, next->record.version));
             this->notify_change();
             co_return next->record;
         }
         if (outcome)
         {
-            for (const ports::record& found : outcome.value().conflicts)
-            {
-                this->view.apply(found);
-            }
-            if (const serving::job_record* now = this->find(id);
-                now != nullptr && now->version > before.version)
+            this->view.apply_refusal(id, versions, outcome.value().conflicts);
+            if (const known_job* now = this->view.find(id);
+                now == nullptr || !(now->versions == versions))
             {
                 continue;
             }
@@ -609,7 +623,10 @@
     ports::record_transaction request;
     request.partition = known->partition;
     request.conditions.push_back(
-        {std::string(job_table), id, known->record.version});
+        {std::string(job_table),
+         id,
+         this->view.version_to_require(known->versions)});
+    const serving::version_range versions = known->versions;
     request.writes = std::move(pieces);
     const result<ports::record_outcome> outcome =
         co_await this->records.transact(std::move(request));
@@ -619,10 +636,7 @@
     }
     if (!outcome.value().committed)
     {
-        for (const ports::record& found : outcome.value().conflicts)
-        {
-            this->view.apply(found);
-        }
+        this->view.apply_refusal(id, versions, outcome.value().conflicts);
         co_return make_error(
             error_kind::conflict,
             "job " + id + ": its record has changed in the store");
--- a/servers/node/job_view.cpp
+++ b/servers/node/job_view.cpp
@@ -9,49 +9,115 @@
 namespace chicory::node
 {
 
+namespace
+{
+
+result<serving::job_record> read_job(const ports::record& source)
+{
+    result<serving::job_record> job =
+        serving::decode_job(source.key, source.value, source.version);
+    if (!job)
+    {
+        log_event(
+            event::job_record_rejected,
+            {{"job", source.key}, {"error", job.error().text}});
+    }
+    return job;
+}
+
+} // namespace
+
 job_view::job_view(std::function<void(const std::string&)> hook)
     : on_job_changed(std::move(hook))
 {
 }
 
-void job_view::adopt(const std::string& partition, serving::job_record record)
+void job_view::adopt(
+    const std::string& partition,
+    serving::job_record record,
+    const serving::version_range& versions)
 {
     const std::string id = record.id;
     const known_job* known = this->find(id);
-    if (known != nullptr && known->record.version >= record.version)
+    if (known != nullptr)
     {
-        return;
+        this->is_overstated =
+            this->is_overstated || known->versions.is_overstated_by(versions);
+        if (!known->versions.is_replaced_by(versions))
+        {
+            return;
+        }
     }
-    this->jobs[id] = {std::move(record), partition};
+    this->jobs[id] = {std::move(record), partition, versions};
     this->on_job_changed(id);
 }
 
+std::int64_t
+job_view::version_to_require(const serving::version_range& versions) const
+{
+    return this->is_overstated ? versions.lowest() : versions.highest();
+}
+
 void job_view::apply(const ports::record& changed)
 {
+    const serving::version_range versions =
+        serving::version_range::of_read(changed.version);
     if (changed.key == limit_key)
     {
-        this->record_limit_version(changed.partition, changed.version);
+        this->adopt_limit(changed.partition, {changed.value, versions});
         return;
     }
     if (changed.deleted)
     {
         const known_job* known = this->find(changed.key);
-        if (known != nullptr && known->record.version < changed.version)
+        if (known != nullptr && known->versions.lowest() < changed.version)
         {
             this->jobs.erase(changed.key);
         }
         return;
     }
-    result<serving::job_record> record =
-        serving::decode_job(changed.key, changed.value, changed.version);
-    if (!record)
+    if (result<serving::job_record> job = read_job(changed))
     {
-        log_event(
-            event::job_record_rejected,
-            {{"job", changed.key}, {"error", record.error().text}});
-        return;
+        this->adopt(changed.partition, std::move(job.value()), versions);
+    }
+}
+
+void job_view::apply_refusal(
+    const std::string& id,
+    const serving::version_range& when_sent,
+    const std::vector<ports::record>& found)
+{
+    const auto returned = std::find_if(
+        found.begin(),
+        found.end(),
+        [&](const ports::record& entry)
+        {
+            return entry.key == id && !entry.deleted;
+        });
+    serving::version_range versions;
+    std::optional<serving::job_record> job;
+    if (returned != found.end())
+    {
+        result<serving::job_record> read = read_job(*returned);
+        if (!read)
+        {
+            return;
+        }
+        versions = serving::version_range::of_read(returned->version);
+        job = std::move(read.value());
+    }
+    const auto known = this->jobs.find(id);
+    if (known != this->jobs.end() &&
+        known->second.versions.is_corrected_by(when_sent, versions))
+    {
+        this->is_overstated = this->is_overstated ||
+                              known->second.versions.is_overstated_by(versions);
+        this->jobs.erase(known);
+    }
+    if (job)
+    {
+        this->adopt(returned->partition, std::move(*job), versions);
     }
-    this->adopt(changed.partition, std::move(record.value()));
 }
 
 void job_view::apply_snapshot(
@@ -115,17 +181,33 @@
     return sum;
 }
 
-std::int64_t job_view::limit_version(const std::string& partition) const
+known_limit job_view::limit_in(const std::string& partition) const
+{
+    const auto found = this->limits.find(partition);
+    return found == this->limits.end() ? known_limit() : found->second;
+}
+
+void job_view::adopt_limit(const std::string& partition, known_limit limit)
 {
-    const auto found = this->limit_versions.find(partition);
-    return found == this->limit_versions.end() ? 0 : found->second;
+    known_limit& known = this->limits[partition];
+    if (known.versions.is_replaced_by(limit.versions))
+    {
+        known = std::move(limit);
+    }
 }
 
-void job_view::record_limit_version(
-    const std::string& partition, std::int64_t version)
+void job_view::apply_limit_refusal(
+    const std::string& partition,
+    const serving::version_range& when_sent,
+    const known_limit& found)
 {
-    std::int64_t& known = this->limit_versions[partition];
-    known = std::max(known, version);
+    known_limit& known = this->limits[partition];
+    const bool adds_jobs = found.versions.lowest() > known.versions.lowest() &&
+                           found.job != known.job;
+    if (!adds_jobs && known.versions.is_corrected_by(when_sent, found.versions))
+    {
+        known = found;
+    }
 }
 
 } // namespace chicory::node
--- a/servers/node/job_view.hpp
+++ b/servers/node/job_view.hpp
@@ -19,11 +19,19 @@
 {
     serving::job_record record;
     std::string partition;
+    serving::version_range versions = {};
+};
+
+/// State of the record that serialises acceptance in a partition.
+struct known_limit
+{
+    /// Id of the job that was accepted last.
+    std::string job;
+    serving::version_range versions = {};
 };
 
 /// View of the jobs, built from the records that this node has received. Of two
-/// records of a job, the one with the higher version is used, whichever arrived
-/// last.
+/// records of a job, the later state is used, whichever arrived last.
 class job_view
 {
 public:
@@ -39,7 +47,26 @@
     void apply_snapshot(
         const std::vector<ports::record>& records, std::int64_t version);
 
-    void adopt(const std::string& partition, serving::job_record record);
+    /// Adopts a record that this node has written.
+    void adopt(
+        const std::string& partition,
+        serving::job_record record,
+        const serving::version_range& versions);
+
+    /// Returns the version that the next write of a record must require. Once
+    /// the store has stated a version above that of a written record, it is the
+    /// lowest one: no other writer's state has that version. The store refuses
+    /// the write if the record's version is another, and returns the record.
+    std::int64_t
+    version_to_require(const serving::version_range& versions) const;
+
+    /// Applies the records that came with the refusal of a write to a job.
+    /// `when_sent` are the job's versions when the write was sent. A job that
+    /// is not among the records does not exist.
+    void apply_refusal(
+        const std::string& id,
+        const serving::version_range& when_sent,
+        const std::vector<ports::record>& found);
 
     /// Removes the jobs for which `may_forget` returns true.
     void
@@ -56,16 +83,26 @@
         const std::string& partition,
         const std::optional<std::string>& organisation) const;
 
-    /// Returns the latest known version of the record that serialises
-    /// acceptance in a partition, or zero when none is known.
-    std::int64_t limit_version(const std::string& partition) const;
-    void
-    record_limit_version(const std::string& partition, std::int64_t version);
+    /// Returns the state of the record that serialises acceptance in a
+    /// partition. The view contains all jobs accepted up to its lowest version.
+    known_limit limit_in(const std::string& partition) const;
+
+    /// Adopts a state of that record up to which the view contains all jobs.
+    void adopt_limit(const std::string& partition, known_limit limit);
+
+    /// Applies the state that came with the refusal of a submission, unless
+    /// jobs of others were accepted since the known state: the feed then brings
+    /// them and the new state.
+    void apply_limit_refusal(
+        const std::string& partition,
+        const serving::version_range& when_sent,
+        const known_limit& found);
 
 private:
     std::function<void(const std::string&)> on_job_changed;
     std::map<std::string, known_job> jobs;
-    std::map<std::string, std::int64_t> limit_versions;
+    std::map<std::string, known_limit> limits;
+    bool is_overstated = false;
 };
 
 } // namespace chicory::node
--- a/tests/servers/node/job_store_test.cpp
+++ b/tests/servers/node/job_store_test.cpp
@@ -49,6 +49,21 @@
             this->io, this->store.submit(std::move(job), "{}", limit));
     }
 
+    result<serving::job_record>
+    change_owner(const std::string& id, const std::string& owner)
+    {
+        const job_store::change_function take_over =
+            [&](const serving::job_record& record) -> std::optional<job_change>
+        {
+            job_change change{record, {}};
+            change.record.owner = owner;
+            return change;
+        };
+        return testing_support::run_to_end(
+            this->io,
+            this->store.change(id, take_over, std::chrono::seconds(1)));
+    }
+
     boost::asio::io_context io{1};
     testing_support::memory_records records;
     testing_support::memory_objects objects;
@@ -101,6 +116,56 @@
     EXPECT_LT(this->records.transactions, 100);
 }
 
+// Guards against results that are never listed: the store states the newest
+// version in a response, other nodes have written since, and each further write
+// requires a version that the job's record never had.
+TEST_F(job_store_test, a_job_changes_after_a_response_with_a_later_version)
+{
+    this->records.later_transactions = 5;
+    ASSERT_EQ(this->submit("j1"), submit_outcome::accepted);
+    for (const std::string owner : {"vm-2", "vm-3", "vm-4"})
+    {
+        const int before = this->records.transactions;
+        ASSERT_TRUE(this->change_owner("j1", owner));
+        EXPECT_EQ(this->store.find("j1")->owner, owner);
+        EXPECT_LE(this->records.transactions - before, 2);
+    }
+    EXPECT_FALSE(testing_support::run_to_end(
+        this->io, this->store.save_pieces("j1", {})));
+    EXPECT_TRUE(testing_support::run_to_end(
+        this->io, this->store.save_pieces("j1", {})));
+}
+
+// Guards against a route that takes no more jobs for the same reason.
+TEST_F(job_store_test, jobs_are_accepted_after_a_response_with_a_later_version)
+{
+    this->records.later_transactions = 5;
+    EXPECT_EQ(this->submit("j1", {1000, false}), submit_outcome::accepted);
+    EXPECT_EQ(this->submit("j2", {1000, false}), submit_outcome::accepted);
+    EXPECT_EQ(this->submit("j3", {1000, false}), submit_outcome::accepted);
+    EXPECT_EQ(this->submit("j4", {300, false}), submit_outcome::over_limit);
+}
+
+// Guards against a node that holds on to a later state than the store has, for
+// instance after the store lost its last writes.
+TEST_F(job_store_test, a_node_ahead_of_the_store_adopts_what_the_store_has)
+{
+    const std::string partition = make_partition("letters");
+    ASSERT_EQ(this->submit("j1", {1000, false}), submit_outcome::accepted);
+    const std::map<testing_support::memory_records::row_name, ports::record>
+        saved = this->records.rows;
+    ASSERT_TRUE(this->change_owner("j1", "vm-2"));
+    ASSERT_EQ(this->submit("j2", {1000, false}), submit_outcome::accepted);
+    this->records.rows = saved;
+    ASSERT_TRUE(this->change_owner("j1", "vm-3"));
+    EXPECT_EQ(this->submit("j3", {1000, false}), submit_outcome::accepted);
+    this->records.rows.clear();
+    const result<serving::job_record> gone = this->change_owner("j1", "vm-4");
+    ASSERT_FALSE(gone);
+    EXPECT_EQ(gone.error().kind, error_kind::not_found);
+    EXPECT_EQ(this->submit("j4", {1000, false}), submit_outcome::accepted);
+}
+
 // Guards against the loss of a job that an earlier version stored without a
 // time of acceptance.
 TEST_F(job_store_test, a_stored_job_without_a_time_is_young_and_gets_a_time)
@@ -117,15 +182,8 @@
     ASSERT_TRUE(read);
     EXPECT_EQ(read.value().accepted_ms, 0);
     EXPECT_EQ(this->store.age_of(read.value()), duration::zero());
-    const job_store::change_function take_over =
-        [](const serving::job_record& record) -> std::optional<job_change>
-    {
-        job_change change{record, {}};
-        change.record.owner = "vm-2";
-        return change;
-    };
-    const result<serving::job_record> changed = testing_support::run_to_end(
-        this->io, this->store.change("j1", take_over, std::chrono::seconds(1)));
+    const result<serving::job_record> changed =
+        this->change_owner("j1", "vm-2");
     ASSERT_TRUE(changed);
     EXPECT_EQ(changed.value().accepted_ms, store_now_ms);
 }
--- a/tests/support/memory_records.hpp
+++ b/tests/support/memory_records.hpp
@@ -29,6 +29,9 @@
     /// Clock of the store in milliseconds.
     std::int64_t now_ms = 0;
     int transactions = 0;
+    /// Number of further transactions of others before the store forms the
+    /// response to one, which states the newest version.
+    std::int64_t later_transactions = 0;
 
     boost::asio::awaitable<result<ports::record_page>>
     read(ports::record_range range) override
@@ -115,6 +118,7 @@
                     false};
             }
         }
+        this->version += this->later_transactions;
         outcome.version = this->version;
         co_return outcome;
     }
