Items: Check header names, values and paths by the grammar of HTTP

Cause: read_item refused line breaks in the values of headers and in the path, and copied the names of headers unchecked. Other control characters passed in values and paths. Its messages quoted ids of any length as they came.

Change: where a submission is decoded, names must be tokens, values must have no control characters but tabs, and a path has visible ASCII characters only. Messages quote at most 100 bytes, without control characters.

--- a/net/net.hpp
+++ b/net/net.hpp
@@ -6,6 +6,7 @@
 #include "net/endpoint.hpp"
 #include "net/guarded.hpp"
 #include "net/http_client.hpp"
+#include "net/http_grammar.hpp"
 #include "net/http_message.hpp"
 #include "net/http_server.hpp"
 #include "net/response_head.hpp"
--- a/tests/platform/document_fuzz_test.cpp
+++ b/tests/platform/document_fuzz_test.cpp
@@ -1,9 +1,11 @@
 #include "platform/platform.hpp"
 #include "tests/support/mutate.hpp"
 
+#include <boost/beast/http.hpp>
 #include <gtest/gtest.h>
 
 #include <random>
+#include <sstream>
 
 namespace chicory::platform
 {
@@ -80,6 +82,79 @@
         });
 }
 
+// Proves that a runner parses the request that was meant, whatever a submission
+// holds: one request, with the item's id, and no byte after it.
+TEST(document_fuzz, submissions_do_not_change_what_a_runner_parses)
+{
+    namespace http = boost::beast::http;
+    constexpr std::array<const char*, 12> inserted = {
+        "\\r\\n",
+        "\\n",
+        "\\r",
+        "\\r\\n\\r\\nPOST /y HTTP/1.1\\r\\nX-Attempt-Id: f\\r\\n\\r\\n",
+        "\\u0000",
+        "\\u0085",
+        " ",
+        ": ",
+        "\\t",
+        " HTTP/1.1\\r\\nA: b",
+        "Content-Length",
+        "Transfer-Encoding\":\"chunked"};
+    const std::string document =
+        R"({"requests":[{"id":"e5","path":"/x/3","headers":{"X-Model":"m"},
+        "body":"q83vEjRWeJA=","tokens":940}]})";
+    std::mt19937_64 generator(20261204);
+    std::uint64_t sent = 0;
+    for (std::uint64_t round = 0; round < testing_support::fuzz_rounds();
+         ++round)
+    {
+        std::string submission = document;
+        submission.insert(
+            generator() % submission.size(),
+            inserted.at(generator() % inserted.size()));
+        const auto items = read_submission(submission);
+        if (!items)
+        {
+            ASSERT_TRUE(net::is_field_value(items.error().text));
+            continue;
+        }
+        const job_item& item = items.value().front();
+        const net::http_request meant =
+            make_item_request(item, "a.example", "i-1", "");
+        http::request<http::string_body> message;
+        message.version(11);
+        message.method_string(meant.method);
+        message.target(meant.target);
+        for (const auto& [name, value] : meant.headers)
+        {
+            message.set(name, value);
+        }
+        message.body() = meant.body;
+        message.prepare_payload();
+        std::ostringstream bytes;
+        bytes << message;
+        const std::string text = bytes.str();
+        http::request_parser<http::string_body> parser;
+        parser.eager(true);
+        boost::beast::error_code code;
+        const std::size_t read = parser.put(boost::asio::buffer(text), code);
+        ASSERT_FALSE(code) << submission;
+        ASSERT_TRUE(parser.is_done()) << submission;
+        ASSERT_EQ(read, text.size()) << submission;
+        ASSERT_EQ(parser.get().target(), item.path);
+        ASSERT_EQ(parser.get()["x-attempt-id"], item.id);
+        ASSERT_EQ(parser.get().body(), item.body);
+        // One more for the length of the body.
+        ASSERT_EQ(
+            static_cast<std::size_t>(
+                std::distance(parser.get().begin(), parser.get().end())),
+            meant.headers.size() + 1)
+            << submission;
+        ++sent;
+    }
+    EXPECT_GT(sent, 0U);
+}
+
 TEST(document_fuzz, damaged_targets_and_headers_are_parsed)
 {
     std::mt19937_64 generator(20261204);
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -434,12 +434,48 @@
          R"({"requests":[{"id":"a","path":"x"}]})",
          R"({"requests":[{"id":"a","path":"/x","body":"%"}]})",
          R"({"requests":[{"id":"a","path":"/x","headers":{"A":"b\r\nC: d"}}]})",
+         R"({"requests":[{"id":"a","path":"/x","headers":{"A":"b\u0000"}}]})",
+         R"({"requests":[{"id":"a","path":"/x\u0000"}]})",
+         R"({"requests":[{"id":"a","path":"/x\ty"}]})",
          R"({"requests":[{"id":"a","path":"/x"},{"id":"a","path":"/y"}]})"})
     {
         EXPECT_FALSE(read_submission(body)) << body;
     }
 }
 
+// Guards against a request that no client sent: the name of a header holds the
+// end of a request and the begin of another one.
+TEST(job_document_test, a_header_name_with_line_breaks_is_refused)
+{
+    for (const std::string name :
+         {R"(A: b\r\n\r\nPOST /x/9 HTTP/1.1\r\nX-Attempt-Id)",
+          R"(A\nB)",
+          R"(A\rB)",
+          R"(A B)",
+          R"(A:)",
+          R"(A\u0000)",
+          R"(\u00e9)",
+          ""})
+    {
+        const auto read = read_submission(
+            R"({"requests":[{"id":"a","path":"/x","headers":{")" + name +
+            R"(":"1"}}]})");
+        ASSERT_FALSE(read) << name;
+        EXPECT_TRUE(net::is_field_value(read.error().text));
+    }
+}
+
+// The text of a refusal goes to the caller and into the log.
+TEST(job_document_test, refusals_quote_a_bounded_text_without_line_breaks)
+{
+    const auto read = read_submission(
+        R"({"requests":[{"id":"a\n)" + std::string(100000, 'b') +
+        R"(","path":"/x"}]})");
+    ASSERT_FALSE(read);
+    EXPECT_LT(read.error().text.size(), 200U);
+    EXPECT_TRUE(net::is_field_value(read.error().text));
+}
+
 TEST(job_document_test, parses_calls_that_concern_a_job)
 {
     const auto read = find_job_call("GET", "/-/lots/7c?after=12");
