Online: End a stream whose event id holds control characters

No caller saw this. A resumed request names the id of the last event in a header. A faulty runner may put a carriage return into an id, and a runner that takes it for the end of a line reads another header.

Cause: event_splitter tracked ids as they came.

Change: an event whose id holds control characters other than tabs ends the run as malformed, and the request is resumed after the last good event.

Measured: an_event_id_with_a_carriage_return_is_no_event failed before the change and passes after it.

--- a/policy/serving/event_splitter.cpp
+++ b/policy/serving/event_splitter.cpp
@@ -1,6 +1,7 @@
 #include "policy/serving/event_splitter.hpp"
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <cstdint>
 #include <utility>
@@ -38,6 +39,18 @@
     return number;
 }
 
+/// Returns whether an id may be sent in a header.
+bool is_valid_id(std::string_view id)
+{
+    return std::none_of(
+        id.begin(),
+        id.end(),
+        [](unsigned char letter)
+        {
+            return std::iscntrl(letter) != 0 && letter != '\t';
+        });
+}
+
 } // namespace
 
 bool may_follow(const std::string& previous_id, const std::string& next_id)
@@ -130,7 +143,8 @@
     {
         const bool continues = std::exchange(this->is_run_start, false) &&
                                !this->tracked_id.empty();
-        if (continues && !may_follow(this->tracked_id, event.id))
+        if (!is_valid_id(event.id) ||
+            (continues && !may_follow(this->tracked_id, event.id)))
         {
             return std::nullopt;
         }
--- a/policy/serving/event_splitter.hpp
+++ b/policy/serving/event_splitter.hpp
@@ -34,7 +34,9 @@
 
     /// Works like `cut` and also records the ids of the complete events.
     /// Returns nothing if the first event of a run does not follow the last one
-    /// of the runs before: a runner may begin anew or skip events.
+    /// of the runs before, because a runner may begin anew or skip events, or
+    /// if an id holds control characters, because it is sent in a header when
+    /// the run is resumed.
     std::optional<std::string> cut_and_track_id(std::string_view bytes);
 
     /// Returns the id of the last complete event that `cut_and_track_id`
--- a/tests/policy/serving/serving_test.cpp
+++ b/tests/policy/serving/serving_test.cpp
@@ -71,6 +71,19 @@
     EXPECT_EQ(splitter.last_id(), "2");
 }
 
+// Fault pattern: a runner sends an event id with a carriage return, which the
+// next runner would receive as the end of a header.
+TEST(event_splitter_test, an_event_id_with_a_carriage_return_is_no_event)
+{
+    for (const std::string id : {"5\rX-Tenant: south", "5\x01", "\x7f"})
+    {
+        event_splitter splitter;
+        EXPECT_TRUE(splitter.cut_and_track_id("id: 4\r\ndata: a\r\n\n"));
+        EXPECT_FALSE(splitter.cut_and_track_id("id: " + id + "\ndata: b\n\n"));
+        EXPECT_EQ(splitter.last_id(), "4");
+    }
+}
+
 // Load pattern: an event without an end that arrives in many pieces. Each byte
 // must be searched only once.
 TEST(event_splitter_test, finds_an_event_end_split_over_two_pieces)
