Settings: Read times in seconds with a fraction

Cause: the times in seconds were read as integers.

Change: they are numbers from 1 to 86,400.

Measured: times_in_seconds_may_have_a_fraction failed before the change ("expected an integer, found the number 7.250000") and passes after it.

--- a/servers/node/node_settings.cpp
+++ b/servers/node/node_settings.cpp
@@ -38,11 +38,13 @@
     return {};
 }
 
-duration read_seconds(
-    settings_reader& reader, std::string_view key, std::int64_t fallback)
+duration
+read_seconds(settings_reader& reader, std::string_view key, double fallback)
 {
-    return std::chrono::seconds(
-        reader.optional_integer(key, fallback, 1, max_seconds));
+    const double seconds = reader.optional_number(
+        key, fallback, 1.0, static_cast<double>(max_seconds));
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(seconds));
 }
 
 /// A limit below the size of one read would reject valid responses.
