Jobs: Apply the limit of a route after a lost response too

Cause: the check was left out once a try had no response, because a refusal might not be true, and the job was sent again.

Change: while the limit is exceeded, the job is not sent again. The node reads its record until it is there or the time for submissions ends, and then responds that the outcome is unknown.

--- a/servers/node/job_store.cpp
+++ b/servers/node/job_store.cpp
@@ -328,9 +328,23 @@
             const std::int64_t waiting_tokens =
                 this->view.waiting_tokens_in(partition, limited_organisation) +
                 serving::waiting_tokens(job);
-            if (waiting_tokens > max_waiting_tokens && !may_exist)
+            if (waiting_tokens > max_waiting_tokens)
             {
-                co_return submit_outcome::over_limit;
+                if (!may_exist)
+                {
+                    co_return submit_outcome::over_limit;
+                }
+                // An earlier try may have been performed, or may be yet. Another
+                // one could exceed the limit.
+                static_cast<void>(co_await this->look_up(job.id));
+                if (read_monotonic_clock() - started > duration(submit_limit))
+                {
+                    co_return this->find_submitted(job).value_or(
+                        submit_outcome::unknown);
+                }
+                timer.expires_after(retry_pause);
+                co_await timer.async_wait(as_result);
+                continue;
             }
             request.conditions.push_back(
                 {std::string(job_table), std::string(limit_key), required});
--- a/tests/servers/node/job_store_test.cpp
+++ b/tests/servers/node/job_store_test.cpp
@@ -146,6 +146,40 @@
     EXPECT_EQ(this->submit("j4", {300, false}), submit_outcome::over_limit);
 }
 
+// Guards against jobs beyond the limit of a route: the response to the first
+// try is lost, and another job takes the room before the second one.
+TEST_F(job_store_test, a_job_is_not_sent_again_beyond_the_limit_of_its_route)
+{
+    ASSERT_EQ(this->submit("j0", {250, false}), submit_outcome::accepted);
+    this->records.lost_transactions = 1;
+    std::optional<submit_outcome> first;
+    boost::asio::co_spawn(
+        this->io,
+        [&]() -> boost::asio::awaitable<void>
+        {
+            serving::job_record job;
+            job.id = "j1";
+            job.route = "letters";
+            job.tokens = {100};
+            first =
+                co_await this->store.submit(std::move(job), "{}", {250, false});
+        },
+        boost::asio::detached);
+    this->io.poll();
+    this->io.restart();
+    ASSERT_EQ(this->submit("j2", {250, false}), submit_outcome::accepted);
+    while (!first)
+    {
+        this->io.run_for(std::chrono::milliseconds(5));
+        this->io.restart();
+    }
+    EXPECT_EQ(*first, submit_outcome::unknown);
+    EXPECT_EQ(
+        this->records.rows.count(
+            {std::string(job_table), make_partition("letters"), "j1"}),
+        0U);
+}
+
 // Guards against a node that holds on to a later state than the store has, for
 // instance after the store lost its last writes.
 TEST_F(job_store_test, a_node_ahead_of_the_store_adopts_what_the_store_has)
--- a/tests/support/memory_records.hpp
+++ b/tests/support/memory_records.hpp
@@ -29,6 +29,8 @@
     /// Clock of the store in milliseconds.
     std::int64_t now_ms = 0;
     int transactions = 0;
+    /// Number of further transactions that are lost with their responses.
+    int lost_transactions = 0;
     /// Number of further transactions of others before the store forms the
     /// response to one, which states the newest version.
     std::int64_t later_transactions = 0;
@@ -81,6 +83,11 @@
     transact(ports::record_transaction request) override
     {
         ++this->transactions;
+        if (this->lost_transactions > 0)
+        {
+            --this->lost_transactions;
+            co_return make_error(error_kind::outcome_unknown, "no response");
+        }
         this->has_responded = true;
         ports::record_outcome outcome;
         outcome.committed = true;
