--- a/servers/node/job_store.cpp
+++ b/servers/node/job_store.cpp
@@ -334,8 +334,8 @@
                 {
                     co_return submit_outcome::over_limit;
                 }
-                // An earlier try may have been performed, or may be yet. Another
-                // one could exceed the limit.
+                // An earlier try may have been performed, or may be yet.
+                // Another one could exceed the limit.
                 static_cast<void>(co_await this->look_up(job.id));
                 if (read_monotonic_clock() - started > duration(submit_limit))
                 {
