--- a/servers/node/job_view.hpp
+++ b/servers/node/job_view.hpp
@@ -102,6 +102,8 @@
     std::function<void(const std::string&)> on_job_changed;
     std::map<std::string, known_job> jobs;
     std::map<std::string, known_limit> limits;
+    /// True once a read has shown that the store stated more than the version
+    /// of a written record.
     bool is_overstated = false;
 };
 
