Jobs: Wait for the feed where a job may have been stored

Cause: the fix for the limit after a lost response read the job's record every 60 ms, in each partition of the table, while the store was in trouble: reads that grow with the submissions that wait.

Change: the submission waits until the feed of changes brings the record or its time ends, without a call of its own.

--- a/servers/node/job_store.cpp
+++ b/servers/node/job_store.cpp
@@ -334,14 +334,13 @@
                 {
                     co_return submit_outcome::over_limit;
                 }
-                // An earlier try may have been performed, or may be yet.
-                // Another one could exceed the limit.
-                static_cast<void>(co_await this->look_up(job.id));
                 if (read_monotonic_clock() - started > duration(submit_limit))
                 {
-                    co_return this->find_submitted(job).value_or(
-                        submit_outcome::unknown);
+                    co_return submit_outcome::unknown;
                 }
+                // An earlier try may have been performed, or may be yet. The
+                // feed brings its record; another try could exceed the limit.
+                const watch_wait waiting(this->watch);
                 timer.expires_after(retry_pause);
                 co_await timer.async_wait(as_result);
                 continue;
--- a/tests/servers/node/job_store_test.cpp
+++ b/tests/servers/node/job_store_test.cpp
@@ -174,6 +174,7 @@
         this->io.restart();
     }
     EXPECT_EQ(*first, submit_outcome::unknown);
+    EXPECT_LE(this->records.reads, 1);
     EXPECT_EQ(
         this->records.rows.count(
             {std::string(job_table), make_partition("letters"), "j1"}),
--- a/tests/support/memory_records.hpp
+++ b/tests/support/memory_records.hpp
@@ -29,6 +29,8 @@
     /// Clock of the store in milliseconds.
     std::int64_t now_ms = 0;
     int transactions = 0;
+    /// Number of calls that read or list.
+    int reads = 0;
     /// Number of further transactions that are lost with their responses.
     int lost_transactions = 0;
     /// Number of further transactions of others before the store forms the
@@ -38,6 +40,7 @@
     boost::asio::awaitable<result<ports::record_page>>
     read(ports::record_range range) override
     {
+        ++this->reads;
         if (this->failing_reads > 0)
         {
             --this->failing_reads;
@@ -61,6 +64,7 @@
     boost::asio::awaitable<result<std::vector<std::string>>>
     list_partitions(std::string table) override
     {
+        ++this->reads;
         std::vector<std::string> partitions;
         for (const auto& [name, row] : this->rows)
         {
