Items: Run the other items of a stored job with an invalid one

Cause: the check of header names, values and paths was also applied to submissions that are read from the store. A job that an earlier version had accepted with such an item could not be decoded by the node that took it over: none of its items ran, and its results could not be read.

Change: an accepted submission is decoded with the reason why an item makes no valid request. Such an item is errored and reaches no runner, the others run. New submissions are refused as before.

--- a/servers/node/item_execution.cpp
+++ b/servers/node/item_execution.cpp
@@ -180,6 +180,17 @@
 asio::awaitable<item_outcome> item_execution::execute()
 {
     this->is_held = false;
+    if (!this->item.defect.empty())
+    {
+        // Earlier versions accepted it, and no runner may receive it.
+        log_event(
+            event::item_interrupted,
+            {{"job", this->job},
+             {"item", this->item.id},
+             {"runner", ""},
+             {"error", this->item.defect}});
+        co_return item_outcome::impossible;
+    }
     while (!this->stopped)
     {
         const step next = co_await this->run_once();
--- a/servers/node/job_store.cpp
+++ b/servers/node/job_store.cpp
@@ -819,7 +819,7 @@
         co_return body.error();
     }
     result<std::vector<platform::job_item>> items =
-        platform::read_submission(body.value());
+        platform::read_accepted_submission(body.value());
     if (!items)
     {
         co_return make_error(error_kind::unavailable, items.error().text);
--- a/tests/servers/node/node_process_test.cpp
+++ b/tests/servers/node/node_process_test.cpp
@@ -1986,6 +1986,41 @@
     this->wait_for_results("j1", 2);
 }
 
+// Guards against the loss of a job that an earlier version accepted with an
+// item that is refused now: a node that takes it over must run the other items.
+TEST_F(node_process_test, a_stored_job_with_an_invalid_item_runs_the_others)
+{
+    const std::string partition = make_partition("jobs");
+    serving::job_record job;
+    job.id = "old";
+    job.route = "jobs";
+    job.owner = "vm-9";
+    job.accepted_ms = 1;
+    job.body_records = 1;
+    job.tokens = {100, 100, 100};
+    this->store.put("jobs", partition, "old", serving::encode_job(job));
+    const std::string submission =
+        R"({"requests":[{"id":"a","path":"/jobs/x","body":"aGk=","tokens":9},
+        {"id":"b","path":"/jobs/x","headers":{"A\r\nB":"c"},"body":"aGk="},
+        {"id":"c","path":"/jobs/\u00fc","body":"aGk="}]})";
+    for (const ports::record_write& write :
+         make_part_writes(body_table, "old", 0, submission, 65536))
+    {
+        this->store.put(write.table, partition, write.key, *write.value);
+    }
+    this->start_serving();
+    this->wait_for_results("old", 3);
+    const boost::json::object results = this->read_results("old");
+    for (const boost::json::value& entry : results.at("results").as_array())
+    {
+        EXPECT_EQ(
+            entry.at("state").as_string(),
+            entry.at("id").as_string() == "a" ? "completed" : "errored");
+    }
+    ASSERT_EQ(this->first.arrivals.size(), 1U);
+    EXPECT_EQ(this->first.arrivals[0].attempt, "a");
+}
+
 // Guards against the loss of work when a node loses power while items run that
 // take seconds.
 TEST_F(node_process_test, a_restarted_node_continues_from_saved_texts)
