Jobs: Keep a job when the refusal of a write came without its record

Cause: since refused writes correct the view, a refusal without the record was taken for the end of the job, also when its body could not be read. The node forgot the job and told callers that it did not exist, and a route's row that serialises acceptance was taken for missing, so that the node accepted no more jobs there.

A refusal without the record makes the node read it, and only a read that finds none removes the job.

--- a/servers/node/job_store.cpp
+++ b/servers/node/job_store.cpp
@@ -561,6 +561,13 @@
             {
                 continue;
             }
+            // The refusal brought nothing new. The record may be gone.
+            const result<serving::job_record> read = co_await this->look_up(id);
+            if (!read && read.error().kind == error_kind::not_found)
+            {
+                this->view.remove(id, versions);
+                co_return read.error();
+            }
         }
         may_be_committed =
             may_be_committed ||
--- a/servers/node/job_view.cpp
+++ b/servers/node/job_view.cpp
@@ -94,29 +94,36 @@
         {
             return entry.key == id && !entry.deleted;
         });
-    serving::version_range versions;
-    std::optional<serving::job_record> job;
-    if (returned != found.end())
+    if (returned == found.end())
     {
-        result<serving::job_record> read = read_job(*returned);
-        if (!read)
-        {
-            return;
-        }
-        versions = serving::version_range::of_read(returned->version);
-        job = std::move(read.value());
+        return;
+    }
+    result<serving::job_record> job = read_job(*returned);
+    if (!job)
+    {
+        return;
     }
+    const serving::version_range versions =
+        serving::version_range::of_read(returned->version);
     const auto known = this->jobs.find(id);
     if (known != this->jobs.end() &&
         known->second.versions.is_corrected_by(when_sent, versions))
     {
+        // The returned record is adopted whatever its version.
         this->is_overstated = this->is_overstated ||
                               known->second.versions.is_overstated_by(versions);
         this->jobs.erase(known);
     }
-    if (job)
+    this->adopt(returned->partition, std::move(job.value()), versions);
+}
+
+void job_view::remove(
+    const std::string& id, const serving::version_range& when_read)
+{
+    const auto known = this->jobs.find(id);
+    if (known != this->jobs.end() && known->second.versions == when_read)
     {
-        this->adopt(returned->partition, std::move(*job), versions);
+        this->jobs.erase(known);
     }
 }
 
--- a/servers/node/job_view.hpp
+++ b/servers/node/job_view.hpp
@@ -61,13 +61,17 @@
     version_to_require(const serving::version_range& versions) const;
 
     /// Applies the records that came with the refusal of a write to a job.
-    /// `when_sent` are the job's versions when the write was sent. A job that
-    /// is not among the records does not exist.
+    /// `when_sent` are the job's versions when the write was sent. Removes no
+    /// job that is not among the records.
     void apply_refusal(
         const std::string& id,
         const serving::version_range& when_sent,
         const std::vector<ports::record>& found);
 
+    /// Removes a job whose record does not exist, unless it has changed since
+    /// it had these versions.
+    void remove(const std::string& id, const serving::version_range& when_read);
+
     /// Removes the jobs for which `may_forget` returns true.
     void
     forget(const std::function<bool(const serving::job_record&)>& may_forget);
--- a/tests/servers/node/job_store_test.cpp
+++ b/tests/servers/node/job_store_test.cpp
@@ -201,6 +201,25 @@
     EXPECT_EQ(this->submit("j4", {1000, false}), submit_outcome::accepted);
 }
 
+// Guards against a job that a node forgets, and reports as missing, because the
+// refusal of a write came without the record.
+TEST_F(job_store_test, a_refusal_without_the_record_does_not_remove_a_job)
+{
+    ASSERT_EQ(this->submit("j1"), submit_outcome::accepted);
+    ports::record& row = this->records.rows.at(
+        {std::string(job_table), make_partition("letters"), "j1"});
+    row.version += 7;
+    this->records.omits_conflicts = true;
+    this->records.failing_reads = 1'000'000;
+    const result<serving::job_record> failed = this->change_owner("j1", "vm-2");
+    ASSERT_FALSE(failed);
+    EXPECT_EQ(failed.error().kind, error_kind::unavailable);
+    EXPECT_NE(this->store.find("j1"), nullptr);
+    EXPECT_LT(this->records.transactions, 100);
+    this->records.failing_reads = 0;
+    EXPECT_TRUE(this->change_owner("j1", "vm-3"));
+}
+
 // Guards against the loss of a job that an earlier version stored without a
 // time of acceptance.
 TEST_F(job_store_test, a_stored_job_without_a_time_is_young_and_gets_a_time)
--- a/tests/support/memory_records.hpp
+++ b/tests/support/memory_records.hpp
@@ -33,6 +33,8 @@
     int reads = 0;
     /// Number of further transactions that are lost with their responses.
     int lost_transactions = 0;
+    /// True if the store refuses writes without the records that stand.
+    bool omits_conflicts = false;
     /// Number of further transactions of others before the store forms the
     /// response to one, which states the newest version.
     std::int64_t later_transactions = 0;
@@ -110,6 +112,10 @@
         }
         if (!outcome.committed)
         {
+            if (this->omits_conflicts)
+            {
+                outcome.conflicts.clear();
+            }
             co_return outcome;
         }
         outcome.conflicts.clear();
