--- a/review/lib-3/runner.py
+++ b/review/lib-3/runner.py
@@ -37,6 +37,8 @@
         self.events = 20
         self.first_event_s = 0.02
         self.event_s = 0.012
+        # Bytes that are added to the data of each event.
+        self.padding = 0
         # Called with the attempt id, headers and body; returns None, or bytes
         # to send in place of the response.
         self.spoil = lambda attempt, headers: None
@@ -159,7 +161,8 @@
             if reader.at_eof() or writer.is_closing():
                 self.on_end(attempt, False)
                 return False
-            data = f"id: {number}\ndata: {event_data(attempt, number)}\n\n".encode()
+            text = event_data(attempt, number) + "x" * self.padding
+            data = f"id: {number}\ndata: {text}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(data), data))
             await writer.drain()
             await asyncio.sleep(self.event_s)
