--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import resource
 import shutil
 import signal
@@ -16,6 +17,8 @@
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 INTERNAL_PORTS = 16
+FIRST_PORT = 12000
+LAST_PORT = 30000
 START_LIMIT_S = 10.0
 
 
@@ -24,13 +27,11 @@
 
 
 def free_ports(host, count):
-    """Returns the first of some consecutive ports that are free."""
-    for _ in range(200):
-        with socket.socket() as probe:
-            probe.bind((host, 0))
-            first = probe.getsockname()[1]
-        if first + count > 65000:
-            continue
+    """Returns the first of some consecutive ports that are free. They lie below
+    those that outgoing connections get, which could take one before the node
+    listens."""
+    for _ in range(500):
+        first = random.randrange(FIRST_PORT, LAST_PORT - count)
         try:
             for port in range(first, first + count):
                 for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
@@ -189,16 +190,19 @@
     "slots": 8, "kv_capacity": 101495}}
 
 
-def stop_on_signals(loop, task):
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, task.cancel)
-
-
 def run_case(main):
-    """Runs a case and ends with its exit code; 2 when it could not run."""
+    """Runs a case and ends with its exit code; 2 when it could not run. A signal
+    ends the case and all processes that it started."""
+    async def run():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await main()
+
     code = 2
     try:
-        code = asyncio.run(main())
-    except Exception as failure:  # Any failure of the script is no finding.
+        code = asyncio.run(run())
+    # A failure of the script itself is no finding.
+    except (Exception, asyncio.CancelledError) as failure:
         print(f"the case could not run: {type(failure).__name__} {failure}")
     raise SystemExit(code)
--- a/review/lib-3/runner.py
+++ b/review/lib-3/runner.py
@@ -39,8 +39,13 @@
         self.event_s = 0.012
         # Bytes that are added to the data of each event.
         self.padding = 0
-        # Called with the attempt id, headers and body; returns None, or bytes
-        # to send in place of the response.
+        # Seconds after which an idle channel is closed, in Keep-Alive; zero for
+        # never.
+        self.idle_s = 0
+        # Returns whether a sound answer announces the end of its channel.
+        self.closes = lambda: False
+        # Called with the attempt id and headers; returns None, or bytes to
+        # send in place of the response.
         self.spoil = lambda attempt, headers: None
         # Notes each run: attempt id, first event, time.
         self.on_run = lambda attempt, after, headers, body: None
@@ -91,6 +96,8 @@
     def head(self, attempt):
         fields = {"X-Attempt-Id": attempt, "X-Instance-Id": self.name,
                   "X-Instance-Load": self.load()}
+        if self.idle_s:
+            fields["Keep-Alive"] = f"timeout={self.idle_s}"
         if self.state == "draining":
             fields["Server-Leaving"] = "1"
             fields["Connection"] = "close"
@@ -101,14 +108,16 @@
         try:
             while await self.serve(reader, writer):
                 pass
-        except (wire.Closed, OSError, ValueError, asyncio.CancelledError):
+        except (wire.Closed, OSError, ValueError, asyncio.TimeoutError,
+                asyncio.CancelledError):
             pass
         finally:
             self.connections.discard(writer)
             writer.close()
 
     async def serve(self, reader, writer):
-        line, headers = await wire.read_head(reader)
+        line, headers = await asyncio.wait_for(
+            wire.read_head(reader), self.idle_s or None)
         body = await wire.read_body(reader, headers)
         method, target, _ = line.split(" ")
         attempt = headers.get("x-attempt-id", "")
@@ -152,6 +161,8 @@
             return True
         await asyncio.sleep(self.first_event_s)
         fields = self.head(attempt)
+        if self.closes():
+            fields["Connection"] = "close"
         fields["Content-Type"] = "text/event-stream"
         fields["Transfer-Encoding"] = "chunked"
         fields["X-Response-Stamp"] = hashlib.sha256(attempt.encode()).hexdigest()[:24]
